--- a/include/monsoonlock/app.h
+++ b/include/monsoonlock/app.h
@@ -8,6 +8,7 @@
 #include <glib.h>
 
 #include <monsoonlock/core.h>
+#include <monsoonlock/dispatch.h>
 #include <monsoonlock/net.h>
 
 /* Exit statuses of the programs. */
@@ -80,6 +81,45 @@
     const char *path, struct mlk_agent_settings **out, struct mlk_error *err);
 void mlk_agent_settings_free(struct mlk_agent_settings *settings);
 
+/* The part that the programs around the dispatch library have in common. */
+struct mlk_site_settings {
+	char id[MLK_NAME_MAX];
+	char dc[MLK_NAME_MAX];
+	enum mlk_log_level log_level;
+	bool log_json;
+	uint32_t log_lines_per_s;
+	char store_address[MLK_ADDR_MAX];
+	char metrics_listen[MLK_ADDR_MAX]; /* empty: not served */
+	uint32_t grace_ms; /* from SIGTERM until the process is killed */
+	uint32_t lease_ms; /* of runs at a worker */
+	uint32_t resend_ms; /* soonest return of a job that was not answered */
+	uint32_t nentries;
+	char (*entries)[MLK_ADDR_MAX]; /* of the entries' links */
+};
+
+struct mlk_site_entry_settings {
+	struct mlk_site_settings site;
+	char callers_listen[MLK_ADDR_MAX];
+	char readiness_listen[MLK_ADDR_MAX];
+	char links_listen[MLK_ADDR_MAX];
+	uint32_t max_connections;
+	uint32_t max_jobs;
+};
+
+struct mlk_site_agent_settings {
+	struct mlk_site_settings site;
+	char worker_address[MLK_ADDR_MAX];
+	char announcements_listen[MLK_ADDR_MAX];
+	char pool[MLK_NAME_MAX]; /* of the worker; empty: any */
+};
+
+int mlk_site_entry_settings_load(const char *path,
+    struct mlk_site_entry_settings **out, struct mlk_error *err);
+void mlk_site_entry_settings_free(struct mlk_site_entry_settings *settings);
+int mlk_site_agent_settings_load(const char *path,
+    struct mlk_site_agent_settings **out, struct mlk_error *err);
+void mlk_site_agent_settings_free(struct mlk_site_agent_settings *settings);
+
 /* ---- command line ----------------------------------------------------- */
 
 struct mlk_args {
@@ -102,14 +142,31 @@
 void mlk_log(enum mlk_log_level level, const char *fmt, ...)
     __attribute__((format(printf, 2, 3)));
 void mlk_log_effect(const struct mlk_effect *fx); /* an MLK_FX_LOG */
+void mlk_log_decision(const struct mlk_decision *decision);
 
 /*
- * Formats one line without a newline; empty or zero fields are left out.
- * wall_ms is in milliseconds since 1970.
+ * Sends lines to a descriptor other than stderr and bounds them: above
+ * lines_per_s, after a reserve of LOG_BURST_S seconds of them, and whenever the
+ * descriptor takes none, lines are left out; the next one that is written says
+ * how many.  lines_per_s 0: no bound.
  */
-char *mlk_log_format(bool json, int64_t wall_ms, enum mlk_log_level level,
-    const char *message, const char *submission, const char *worker,
-    const char *epoch);
+void mlk_log_output(int fd, uint32_t lines_per_s);
+
+/* The parts of a line; empty ones are left out. */
+struct mlk_log_line {
+	int64_t wall_ms; /* since 1970 */
+	enum mlk_log_level level;
+	const char *message;
+	const char *request;
+	const char *job;
+	const char *submission;
+	const char *worker;
+	const char *epoch;
+	const char *left_out; /* lines before this one */
+};
+
+/* Formats one line without a newline. */
+char *mlk_log_format(bool json, const struct mlk_log_line *line);
 
 /* ---- metrics text ----------------------------------------------------- */
 
@@ -123,6 +180,12 @@
     const struct mlk_entry_gauges *gauges);
 void mlk_metrics_agent(GString *out, const struct mlk_agent_counters *counters,
     const struct mlk_agent_gauges *gauges);
+void mlk_metrics_dispatch(GString *out,
+    const struct mlk_dispatch_counters *counters,
+    const struct mlk_dispatch_gauges *gauges);
+void mlk_metrics_runner(GString *out,
+    const struct mlk_runner_counters *counters,
+    const struct mlk_runner_gauges *gauges);
 void mlk_metrics_links(GString *out, const struct mlk_link_counters *counters);
 
 #endif
--- a/include/monsoonlock/base.h
+++ b/include/monsoonlock/base.h
@@ -56,6 +56,8 @@
 };
 
 const struct mlk_clock *mlk_clock_system(void);
+/* Its monotonic() counts the time in which the machine was suspended. */
+const struct mlk_clock *mlk_clock_suspend_aware(void);
 int64_t mlk_clock_now(const struct mlk_clock *clock); /* monotonic, ns */
 time_t mlk_clock_wall(const struct mlk_clock *clock); /* seconds */
 int64_t mlk_timespec_ns(const struct timespec *ts);
--- a/include/monsoonlock/core.h
+++ b/include/monsoonlock/core.h
@@ -145,6 +145,100 @@
 void mlk_plan_add_line(struct mlk_plan *plan, const char *fmt, ...)
     __attribute__((format(printf, 2, 3))); /* at most one after create */
 
+/* ---- runs on workers with rooms ---------------------------------------- */
+
+#define MLK_SPEC_MAX 8192 /* bytes of a job's spec text */
+#define MLK_STEPS_MAX 64 /* steps in an ephemeral job */
+#define MLK_HOST_MAX 256 /* host names and path prefixes; with NUL */
+#define MLK_LABELS_MAX 128 /* labels of a worker; with NUL */
+#define MLK_ROUTES_MAX 16384 /* routes in a routing table */
+
+/* What a task demands of a worker, or what is free there. */
+struct mlk_room {
+	uint32_t cpu; /* thousandths of a core */
+	uint32_t mem_mb;
+	uint32_t gpu;
+};
+
+enum mlk_worker_state {
+	MLK_WORKER_READY = 0,
+	MLK_WORKER_DRAINING, /* leaves; starts nothing new */
+	MLK_WORKER_AWAY, /* not known, not reached, or not yet cleared */
+};
+
+struct mlk_worker_info {
+	char id[MLK_NAME_MAX];
+	uint64_t boot; /* one life of the worker; higher is later; 0: none */
+	char pool[MLK_NAME_MAX];
+	char labels[MLK_LABELS_MAX]; /* separated by spaces */
+	enum mlk_worker_state state;
+	struct mlk_room capacity;
+};
+
+struct mlk_worker_load {
+	struct mlk_room free; /* less what waits at the agent */
+	uint32_t running;
+	uint32_t waiting;
+};
+
+/* How a run ended.  After any of these nothing of the run is at work. */
+enum mlk_run_end {
+	MLK_RUN_DONE = 0,
+	MLK_RUN_FAILED, /* by its own fault or the worker's */
+	MLK_RUN_BUSY, /* not run: no room within the time allowed */
+	MLK_RUN_REFUSED, /* not run: the worker takes no work, or too late */
+	MLK_RUN_LOST, /* ended with its lease or its worker */
+	MLK_RUN_STOPPED, /* by order */
+	MLK_RUN_STALLED, /* stopped, since it made no progress */
+};
+
+struct mlk_run_task {
+	uint32_t index;
+	struct mlk_room room;
+};
+
+struct mlk_run_result {
+	uint64_t job; /* handle of the entry's, as in RUN */
+	uint32_t step;
+	uint32_t index;
+	enum mlk_run_end end;
+	uint32_t run_ms;
+};
+
+/* One way of callers' requests to a pool of workers. */
+struct mlk_route {
+	char name[MLK_NAME_MAX];
+	char host[MLK_HOST_MAX];
+	char prefix[MLK_HOST_MAX]; /* of the path */
+	char pool[MLK_NAME_MAX];
+	uint32_t timeout_ms;
+	uint32_t target_ms; /* response-time goal beyond the work itself */
+	uint32_t priority; /* 0 comes first */
+	uint32_t attempts; /* failures of a task after which its job failed */
+	uint32_t stretch; /* thousandths: goal over the longest chain of work */
+};
+
+struct mlk_pool {
+	char name[MLK_NAME_MAX];
+	char health_path[MLK_NAME_MAX];
+	uint8_t guards_room; /* its workers refuse what does not fit */
+};
+
+/* Which requests go where.  Versions grow; 0 is the empty one. */
+struct mlk_routing {
+	uint64_t version;
+	uint32_t nroutes;
+	struct mlk_route *routes;
+	uint32_t npools;
+	struct mlk_pool *pools;
+	uint32_t max_body_bytes;
+	uint32_t header_timeout_ms;
+	uint32_t idle_timeout_ms;
+};
+
+void mlk_routing_clear(struct mlk_routing *routing);
+int mlk_routing_copy(struct mlk_routing *dst, const struct mlk_routing *src);
+
 /* ---- messages between processes --------------------------------------- */
 
 struct mlk_demand {
@@ -223,6 +317,13 @@
 	MLK_MSG_FORWARD_REPLY,
 	MLK_MSG_PEERS,
 	MLK_MSG_LEAVE,
+	MLK_MSG_ATTACH,
+	MLK_MSG_WORKER,
+	MLK_MSG_RUN,
+	MLK_MSG_ENDS,
+	MLK_MSG_DROP,
+	MLK_MSG_PING,
+	MLK_MSG_ROUTES,
 	MLK_MSG_TYPES,
 };
 
@@ -317,6 +418,51 @@
 			uint32_t n;
 			struct mlk_peer_info *peers;
 		} peers;
+		/* sent_at: ms of the sender's clock, suspensions included */
+		struct { /* agent -> entry; first message of a link; no run
+			    for this entry is left at the worker */
+			char id[MLK_NAME_MAX];
+			uint64_t incarnation;
+			char dc[MLK_NAME_MAX];
+		} attach;
+		struct { /* agent -> entry; at least every beat */
+			uint64_t sent_at;
+			uint64_t seen; /* seq of the last RUN that counts in
+					  load */
+			uint64_t routing_version;
+			struct mlk_worker_info info;
+			struct mlk_worker_load load;
+		} worker;
+		struct { /* entry -> agent: tasks of one step of a job */
+			uint64_t sent_at;
+			uint64_t seq; /* rises by 1 on a link */
+			uint64_t job; /* echoed in ENDS */
+			char id[MLK_ID_MAX]; /* of the job */
+			uint32_t step;
+			uint32_t deadline_ms; /* no run of the job after it */
+			uint32_t urgency_ms; /* less comes first */
+			uint32_t wait_ms; /* for room, then BUSY */
+			uint32_t estimate_ms; /* of a task's work */
+			struct mlk_blob spec;
+			uint32_t n;
+			struct mlk_run_task *tasks;
+		} run;
+		struct { /* agent -> entry */
+			uint64_t sent_at;
+			uint64_t seen;
+			struct mlk_worker_load load;
+			uint32_t n;
+			struct mlk_run_result *items;
+		} ends;
+		struct { /* entry -> agent: stop every run of the job */
+			uint64_t sent_at;
+			uint64_t job;
+		} drop;
+		struct { /* entry -> agent, entry -> entry */
+			uint64_t sent_at;
+			uint64_t routing_version;
+		} ping;
+		struct mlk_routing routes; /* any -> any: ROUTES */
 	} u;
 };
 
@@ -573,6 +719,15 @@
 	MLK_LOG_DEBUG,
 };
 
+/* A decision for the log; an effect of the reducers of the dispatch library. */
+struct mlk_decision {
+	enum mlk_log_level level;
+	char request[MLK_NAME_MAX]; /* the caller's request id, or empty */
+	char job[MLK_NAME_MAX]; /* or empty */
+	char worker[MLK_NAME_MAX]; /* or empty */
+	char text[192];
+};
+
 struct mlk_admin_reply {
 	enum mlk_admin_type type;
 	int code; /* mlk_err_code; CONFLICT carries the new plan */
--- /dev/null
+++ b/include/monsoonlock/dispatch.h
@@ -0,0 +1,458 @@
+/*
+ * Dispatch library: ephemeral jobs, which are answered when they have ended
+ * and of which nothing is kept.  Two reducers share it: the dispatcher of an
+ * entry, which places the tasks of its callers' jobs on workers, and the
+ * runner of an agent, which alone gives orders to the worker beside it and
+ * keeps it within its room.
+ *
+ * A task never has two runs at the same time; docs/decisions/platform.md tells
+ * why, without a store and without synchronised clocks.
+ *
+ * `now` is in nanoseconds of a clock that counts suspensions of the machine.
+ */
+#ifndef MONSOONLOCK_DISPATCH_H
+#define MONSOONLOCK_DISPATCH_H
+
+#include <monsoonlock/core.h>
+
+/* ---- rooms ------------------------------------------------------------- */
+
+bool mlk_room_fits(const struct mlk_room *free, const struct mlk_room *need);
+void mlk_room_add(struct mlk_room *room, const struct mlk_room *more);
+/* Stops at 0 in each part. */
+void mlk_room_take(struct mlk_room *room, const struct mlk_room *less);
+/* How often need fits into free, at most max. */
+uint32_t mlk_room_count(
+    const struct mlk_room *free, const struct mlk_room *need, uint32_t max);
+
+/* ---- routing table ----------------------------------------------------- */
+
+/* The route of the longest prefix for this host, or NULL. */
+const struct mlk_route *mlk_routing_match(
+    const struct mlk_routing *routing, const char *host, const char *path);
+
+/* ---- following the rows of a table --------------------------------------- */
+
+/*
+ * Follows a table of the store: reads it whole, then asks for what has changed
+ * since, and starts over when the store has forgotten that.  Calls that fail
+ * are repeated after a delay that grows.
+ */
+struct mlk_watch {
+	bool calling;
+	bool following; /* the table was read; changes since `version` follow */
+	uint64_t version;
+	int64_t due; /* of the next call */
+	int64_t delay; /* before the next one that follows a failure */
+	uint32_t failures; /* in a row */
+	struct mlk_rng rng;
+};
+
+enum mlk_watch_call {
+	MLK_WATCH_NONE,
+	MLK_WATCH_READ, /* the whole table */
+	MLK_WATCH_FOLLOW, /* what has changed since `version` */
+};
+
+enum mlk_watch_result {
+	MLK_WATCH_ROWS, /* as of the version given */
+	MLK_WATCH_FORGOTTEN, /* the store does not know what changed since */
+	MLK_WATCH_UNAVAILABLE,
+};
+
+void mlk_watch_init(struct mlk_watch *watch, uint64_t seed);
+/* The call to make now; it counts as made. */
+enum mlk_watch_call mlk_watch_due(struct mlk_watch *watch, int64_t now);
+void mlk_watch_ended(struct mlk_watch *watch, enum mlk_watch_result result,
+    uint64_t version, int64_t now);
+
+/* ---- runner ------------------------------------------------------------- */
+
+/* Names one run at the worker. */
+struct mlk_run_name {
+	char id[MLK_ID_MAX]; /* of the job */
+	uint32_t step;
+	uint32_t index;
+	uint32_t run; /* number of the start, from 1 */
+};
+
+enum mlk_order_type {
+	MLK_ORDER_START,
+	MLK_ORDER_STOP,
+	MLK_ORDER_LIST, /* also renews the lease of all runs */
+};
+
+/* One call to the worker.  The worker ignores orders below its fence. */
+struct mlk_order {
+	uint64_t order; /* echoed */
+	enum mlk_order_type type;
+	char worker[MLK_NAME_MAX]; /* empty: whichever is there */
+	uint64_t fence;
+	struct mlk_run_name name; /* START, STOP */
+	struct mlk_blob spec; /* START; owned by the effect */
+	int64_t lease_until_ms; /* worker's clock; 0: no renewal */
+	uint64_t ack; /* LIST: ends up to this number are done with */
+	uint32_t wait_ms; /* LIST: the worker answers at an end, or then */
+	uint32_t timeout_ms;
+	bool fresh; /* on a new connection */
+};
+
+enum mlk_order_result {
+	MLK_ORDER_OK,
+	MLK_ORDER_FENCED, /* the worker has seen a higher fence */
+	MLK_ORDER_OLD, /* a run of this number or above was there before */
+	MLK_ORDER_LATE, /* the lease had passed on arrival */
+	MLK_ORDER_NO_ROOM,
+	MLK_ORDER_INVALID,
+	MLK_ORDER_UNHEALTHY, /* the worker has done nothing */
+	MLK_ORDER_OTHER_WORKER, /* another boot answers there */
+	MLK_ORDER_UNREACHED, /* connection refused; nothing was sent */
+	MLK_ORDER_NO_ANSWER, /* may be carried out, also later */
+};
+
+struct mlk_listed_run {
+	struct mlk_run_name name;
+	uint32_t percent; /* of its work */
+};
+
+enum mlk_listed_how {
+	MLK_LISTED_DONE,
+	MLK_LISTED_FAILED,
+	MLK_LISTED_STOPPED,
+	MLK_LISTED_LAPSED,
+	MLK_LISTED_OTHER,
+};
+
+struct mlk_listed_end {
+	uint64_t number; /* rises within a boot */
+	struct mlk_run_name name;
+	enum mlk_listed_how how;
+};
+
+/* What a worker says of itself.  Borrowed by the event. */
+struct mlk_announcement {
+	struct mlk_worker_info info;
+	uint64_t seq; /* within the boot */
+	int64_t clock_ms; /* the worker's; 0: not told */
+	uint32_t remaining_ms; /* while it drains; 0: not told */
+};
+
+enum mlk_runner_event_type {
+	MLK_RUNNER_LINK_UP,
+	MLK_RUNNER_LINK_DOWN,
+	MLK_RUNNER_MSG,
+	MLK_RUNNER_ENTRIES, /* addresses of entries that were learned */
+	MLK_RUNNER_ANNOUNCED,
+	MLK_RUNNER_LEFT, /* the worker said that it ends now */
+	MLK_RUNNER_ORDER, /* an order was answered, or will not be */
+	MLK_RUNNER_TICK,
+	MLK_RUNNER_STOP, /* planned stop */
+};
+
+struct mlk_runner_event {
+	enum mlk_runner_event_type type;
+	int64_t now;
+	union {
+		struct {
+			uint32_t link;
+			uint32_t connect;
+		} link;
+		struct {
+			uint32_t link;
+			const struct mlk_msg *msg;
+		} msg;
+		struct {
+			uint32_t n;
+			const char (*addrs)[MLK_ADDR_MAX];
+		} entries;
+		const struct mlk_announcement *announced;
+		struct {
+			char worker[MLK_NAME_MAX];
+		} left;
+		struct {
+			uint64_t order;
+			enum mlk_order_result result;
+			int64_t clock_ms; /* 0: not told */
+			uint64_t boot; /* LIST; 0: not told */
+			uint32_t nrunning;
+			const struct mlk_listed_run *running;
+			uint32_t nended;
+			const struct mlk_listed_end *ended;
+		} order;
+	} u;
+};
+
+enum mlk_runner_effect_type {
+	MLK_RUNNER_FX_SEND,
+	MLK_RUNNER_FX_CONNECT,
+	MLK_RUNNER_FX_CLOSE,
+	MLK_RUNNER_FX_ORDER,
+	MLK_RUNNER_FX_LOG,
+	MLK_RUNNER_FX_EXIT,
+};
+
+struct mlk_runner_effect {
+	enum mlk_runner_effect_type type;
+	union {
+		struct {
+			uint32_t link;
+			struct mlk_msg msg;
+		} send;
+		struct {
+			uint32_t connect;
+			char addr[MLK_ADDR_MAX];
+		} connect;
+		struct {
+			uint32_t link;
+		} close;
+		struct mlk_order order;
+		struct mlk_decision log;
+	} u;
+};
+
+struct mlk_runner_effects {
+	struct mlk_runner_effect *items;
+	size_t n;
+	size_t cap;
+};
+
+void mlk_runner_effects_clear(struct mlk_runner_effects *fx);
+void mlk_runner_effects_free(struct mlk_runner_effects *fx);
+
+struct mlk_runner_options {
+	char id[MLK_NAME_MAX];
+	char dc[MLK_NAME_MAX];
+	uint64_t incarnation;
+	uint32_t lease_ms; /* of runs at the worker */
+	uint32_t entry_lease_ms; /* runs of a silent entry are stopped then */
+	uint32_t grace_ms; /* from STOP until EXIT */
+	uint32_t nentries; /* addresses from the settings */
+	char (*entries)[MLK_ADDR_MAX];
+};
+
+void mlk_runner_options_default(struct mlk_runner_options *options);
+
+#define MLK_RUNNER_COUNTERS(X)                                     \
+	X(starts, "Starts sent to the worker")                     \
+	X(starts_again, "Starts repeated under a later number")    \
+	X(starts_unanswered, "Starts that got no answer")          \
+	X(starts_void, "Unanswered starts that never took effect") \
+	X(stops, "Stops sent to the worker")                       \
+	X(lists, "Listing orders sent to the worker")              \
+	X(fences, "Times that the fence was raised")               \
+	X(done, "Runs that ended done")                            \
+	X(failed, "Runs that ended failed")                        \
+	X(stopped, "Runs that were stopped")                       \
+	X(lost, "Runs that ended with their lease or worker")      \
+	X(stalled, "Runs stopped for lack of progress")            \
+	X(busy, "Tasks answered not run for lack of room")         \
+	X(refused, "Tasks answered not run for another cause")     \
+	X(entry_leases, "Times that an entry's lease ran out")     \
+	X(boots, "Lives of the worker seen")
+
+struct mlk_runner_counters {
+#define X(field, help) uint64_t field;
+	MLK_RUNNER_COUNTERS(X)
+#undef X
+};
+
+struct mlk_runner_gauges {
+	bool ready; /* offers room to an entry */
+	uint32_t entries;
+	uint32_t running;
+	uint32_t waiting;
+	struct mlk_room capacity;
+	struct mlk_room free;
+	uint64_t fence;
+};
+
+struct mlk_runner;
+
+struct mlk_runner *mlk_runner_create(const struct mlk_runner_options *options);
+void mlk_runner_destroy(struct mlk_runner *runner);
+int mlk_runner_apply(struct mlk_runner *runner,
+    const struct mlk_runner_event *ev, struct mlk_runner_effects *out,
+    struct mlk_error *err);
+const struct mlk_runner_counters *mlk_runner_counters(
+    const struct mlk_runner *runner);
+void mlk_runner_gauges(
+    const struct mlk_runner *runner, struct mlk_runner_gauges *out);
+
+/* ---- dispatcher ---------------------------------------------------------- */
+
+/* One step of a job: tasks that are alike. */
+struct mlk_step {
+	uint32_t count;
+	struct mlk_room room; /* of each task */
+	uint32_t estimate_ms; /* of a task's work; a rough one */
+	uint64_t after; /* mask of earlier steps that come first */
+};
+
+/* A caller's ephemeral job.  Borrowed by the event. */
+struct mlk_work {
+	char id[MLK_ID_MAX];
+	const uint8_t *spec;
+	uint32_t spec_len;
+	uint32_t nsteps;
+	const struct mlk_step *steps;
+	const char *unsupported; /* what it asks for that is not built, or
+				    NULL */
+};
+
+enum mlk_work_outcome {
+	MLK_WORK_COMPLETED,
+	MLK_WORK_FAILED, /* a task failed as often as its route allows */
+	MLK_WORK_REFUSED, /* nothing of it ran, nor will */
+	MLK_WORK_NO_ROUTE, /* the same, since no route leads there */
+	MLK_WORK_INVALID, /* the same, since the request is malformed */
+	MLK_WORK_BROKEN, /* given up; may be sent again */
+	MLK_WORK_LATE, /* its deadline has passed; may be sent again */
+};
+
+enum mlk_dispatch_event_type {
+	MLK_DISPATCH_SUBMIT,
+	MLK_DISPATCH_GONE, /* the caller's connection closed */
+	MLK_DISPATCH_LINK_UP,
+	MLK_DISPATCH_LINK_DOWN,
+	MLK_DISPATCH_MSG,
+	MLK_DISPATCH_ENTRIES, /* addresses of entries that were learned */
+	MLK_DISPATCH_ROUTES, /* a routing table from the store */
+	MLK_DISPATCH_TICK,
+	MLK_DISPATCH_STOP, /* planned stop */
+};
+
+struct mlk_dispatch_event {
+	enum mlk_dispatch_event_type type;
+	int64_t now;
+	union {
+		struct {
+			uint64_t request;
+			const char *request_id; /* the caller's, for the log */
+			const char *host;
+			const char *path;
+			uint32_t deadline_ms; /* 0: the route's */
+			const struct mlk_work *work;
+		} submit;
+		struct {
+			uint64_t request;
+		} gone;
+		struct {
+			uint32_t link;
+			uint32_t connect;
+		} link;
+		struct {
+			uint32_t link;
+			const struct mlk_msg *msg;
+		} msg;
+		struct {
+			uint32_t n;
+			const char (*addrs)[MLK_ADDR_MAX];
+		} entries;
+		const struct mlk_routing *routes;
+	} u;
+};
+
+enum mlk_dispatch_effect_type {
+	MLK_DISPATCH_FX_SEND,
+	MLK_DISPATCH_FX_CONNECT,
+	MLK_DISPATCH_FX_CLOSE,
+	MLK_DISPATCH_FX_ANSWER,
+	MLK_DISPATCH_FX_LOG,
+	MLK_DISPATCH_FX_EXIT,
+};
+
+struct mlk_dispatch_effect {
+	enum mlk_dispatch_effect_type type;
+	union {
+		struct {
+			uint32_t link;
+			struct mlk_msg msg;
+		} send;
+		struct {
+			uint32_t connect;
+			char addr[MLK_ADDR_MAX];
+		} connect;
+		struct {
+			uint32_t link;
+		} close;
+		struct {
+			uint64_t request;
+			enum mlk_work_outcome outcome;
+			uint32_t retry_after_ms; /* REFUSED */
+		} answer;
+		struct mlk_decision log;
+	} u;
+};
+
+struct mlk_dispatch_effects {
+	struct mlk_dispatch_effect *items;
+	size_t n;
+	size_t cap;
+};
+
+void mlk_dispatch_effects_clear(struct mlk_dispatch_effects *fx);
+void mlk_dispatch_effects_free(struct mlk_dispatch_effects *fx);
+
+struct mlk_dispatcher_options {
+	struct mlk_peer_info self; /* addr: of its links */
+	uint64_t seed;
+	uint32_t max_jobs;
+	uint32_t grace_ms; /* from STOP until EXIT */
+	uint32_t nentries; /* addresses from the settings */
+	char (*entries)[MLK_ADDR_MAX];
+};
+
+void mlk_dispatcher_options_default(struct mlk_dispatcher_options *options);
+
+#define MLK_DISPATCH_COUNTERS(X)                                           \
+	X(jobs, "Jobs taken")                                              \
+	X(jobs_joined, "Requests that joined a job at work")               \
+	X(completed, "Jobs answered complete")                             \
+	X(failed, "Jobs answered failed")                                  \
+	X(refused, "Jobs refused, nothing ran")                            \
+	X(no_route, "Requests without a route")                            \
+	X(broken, "Jobs given up, to be sent again")                       \
+	X(late, "Jobs whose deadline passed")                              \
+	X(abandoned, "Jobs whose caller left")                             \
+	X(tasks_sent, "Tasks sent to agents")                              \
+	X(tasks_busy, "Tasks that came back for lack of room")             \
+	X(tasks_refused, "Tasks that came back not run for another cause") \
+	X(tasks_lost, "Runs lost with a lease, worker, agent or link")     \
+	X(tasks_failed, "Runs that failed")                                \
+	X(links_silent, "Links closed after silence")                      \
+	X(routings, "Routing tables put in force")
+
+struct mlk_dispatch_counters {
+#define X(field, help) uint64_t field;
+	MLK_DISPATCH_COUNTERS(X)
+#undef X
+};
+
+struct mlk_dispatch_gauges {
+	bool ready;
+	uint32_t agents;
+	uint32_t agents_ready;
+	uint32_t peers;
+	uint32_t jobs;
+	uint32_t queued; /* tasks without a place */
+	uint32_t in_flight; /* tasks at agents */
+	uint64_t routing_version;
+};
+
+struct mlk_dispatcher;
+
+struct mlk_dispatcher *mlk_dispatcher_create(
+    const struct mlk_dispatcher_options *options);
+void mlk_dispatcher_destroy(struct mlk_dispatcher *dispatcher);
+int mlk_dispatcher_apply(struct mlk_dispatcher *dispatcher,
+    const struct mlk_dispatch_event *ev, struct mlk_dispatch_effects *out,
+    struct mlk_error *err);
+/* Tells whether the routing table in force leads such a request anywhere. */
+bool mlk_dispatcher_routes(const struct mlk_dispatcher *dispatcher,
+    const char *host, const char *path);
+const struct mlk_dispatch_counters *mlk_dispatch_counters(
+    const struct mlk_dispatcher *dispatcher);
+void mlk_dispatch_gauges(
+    const struct mlk_dispatcher *dispatcher, struct mlk_dispatch_gauges *out);
+
+#endif
--- a/include/monsoonlock/net.h
+++ b/include/monsoonlock/net.h
@@ -22,6 +22,7 @@
 	MLK_NET_HTTP_RESPONSE, /* to mlk_loop_http_call() */
 	MLK_NET_TICK,
 	MLK_NET_STOP, /* SIGTERM or SIGINT */
+	MLK_NET_RELOAD, /* SIGHUP */
 };
 
 enum mlk_http_result {
@@ -37,6 +38,8 @@
 	const char *path;
 	const char *query; /* "" when absent */
 	const char *authorization; /* "" when absent */
+	const char *host; /* "" when absent */
+	uint16_t port; /* of the listener that accepted the connection */
 	const uint8_t *body;
 	size_t body_len;
 };
@@ -59,6 +62,8 @@
 		struct {
 			uint64_t call;
 			enum mlk_http_result result;
+			bool timed_out; /* with NOT_SENT: no connection in
+					   time; else it was refused */
 			int status;
 			const uint8_t *body;
 			size_t body_len;
@@ -124,6 +129,8 @@
  */
 bool mlk_loop_http_header(struct mlk_loop *loop, uint64_t request,
     const char *name, char *value, size_t size);
+/* Closes each connection after its next reply, which says so. */
+void mlk_loop_http_close_after(struct mlk_loop *loop, bool close_after);
 /* Replies not yet written out; a planned stop waits for 0. */
 size_t mlk_loop_http_pending(const struct mlk_loop *loop);
 
--- a/src/app/log.c
+++ b/src/app/log.c
@@ -1,16 +1,20 @@
 /*
  * Logging through GLib's structured logging with our own writer: one line on
- * stderr for each message, as text or as a JSON object.  Callers pass no
- * tokens and no payloads; effects have no field for them.
+ * stderr, or where mlk_log_output() says, for each message, as text or as a
+ * JSON object.  Callers pass no tokens and no payloads; effects have no field
+ * for them.
  */
 #define G_LOG_USE_STRUCTURED
 #define G_LOG_DOMAIN "monsoonlock"
 
 #include <inttypes.h>
+#include <limits.h>
+#include <poll.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include <jansson.h>
 
@@ -18,10 +22,20 @@
 
 #define LOG_TEXT_MAX 512 /* bytes of a message; longer ones are cut */
 #define LOG_FIELDS 5
+#define LOG_BURST_S 4 /* seconds' worth of lines that may come at once */
 
 static enum mlk_log_level log_max = MLK_LOG_NOTICE;
 static bool log_json;
 
+/* Where lines go, and how many may; see mlk_log_output(). */
+static struct {
+	int fd;
+	uint32_t rate; /* lines a second; 0: no bound */
+	double allowance; /* lines */
+	int64_t at_us; /* when the allowance was last counted */
+	uint64_t left_out;
+} output = { .fd = STDERR_FILENO };
+
 static const char *
 level_name(enum mlk_log_level level)
 {
@@ -104,46 +118,85 @@
 		    line, name, json_stringn_nocheck(value, strlen(value)));
 }
 
+/* The fields of a line in the order in which they are written. */
+static const struct {
+	const char *name;
+	size_t offset;
+} line_fields[] = {
+	{ "request", offsetof(struct mlk_log_line, request) },
+	{ "job", offsetof(struct mlk_log_line, job) },
+	{ "submission", offsetof(struct mlk_log_line, submission) },
+	{ "worker", offsetof(struct mlk_log_line, worker) },
+	{ "epoch", offsetof(struct mlk_log_line, epoch) },
+	{ "left_out", offsetof(struct mlk_log_line, left_out) },
+};
+
+#define LINE_FIELDS (sizeof(line_fields) / sizeof(line_fields[0]))
+
+static const char *
+line_field(const struct mlk_log_line *line, size_t i)
+{
+	const char *value;
+
+	memcpy(
+	    &value, (const char *)line + line_fields[i].offset, sizeof(value));
+	return (value == NULL ? "" : value);
+}
+
+static char *
+format_json(const struct mlk_log_line *line, const char *when, const char *text)
+{
+	json_t *object;
+	char *out;
+	size_t i;
+
+	object = json_object();
+	json_field(object, "time", when);
+	json_field(object, "level", level_name(line->level));
+	json_field(object, "message", text);
+	for (i = 0; i < LINE_FIELDS; i++)
+		json_field(object, line_fields[i].name, line_field(line, i));
+	out = json_dumps(object, JSON_COMPACT);
+	json_decref(object);
+	return (out);
+}
+
+static char *
+format_text(const struct mlk_log_line *line, const char *when, gchar *text)
+{
+	GString *string;
+	char *out;
+	gchar *p;
+	size_t i;
+
+	for (p = text; *p != '\0'; p++)
+		if (g_ascii_iscntrl(*p))
+			*p = ' ';
+	string = g_string_new(NULL);
+	g_string_printf(
+	    string, "%s %s: %s", when, level_name(line->level), text);
+	for (i = 0; i < LINE_FIELDS; i++)
+		text_field(string, line_fields[i].name, line_field(line, i));
+	out = strdup(string->str);
+	(void)g_string_free(string, TRUE);
+	return (out);
+}
+
 /*
  * A message that is not UTF-8 is repaired first, as JSON requires it.  In
  * text form, control characters become spaces, so that a message cannot
  * pretend to be two.  The caller frees the line with free().
  */
 char *
-mlk_log_format(bool json, int64_t wall_ms, enum mlk_log_level level,
-    const char *message, const char *submission, const char *worker,
-    const char *epoch)
+mlk_log_format(bool json, const struct mlk_log_line *line)
 {
 	char when[40], *out;
-	gchar *text, *p;
-	json_t *object;
-	GString *line;
-
-	format_time(wall_ms, when);
-	text = g_utf8_make_valid(message, -1);
-	if (json) {
-		object = json_object();
-		json_field(object, "time", when);
-		json_field(object, "level", level_name(level));
-		json_field(object, "message", text);
-		json_field(object, "submission", submission);
-		json_field(object, "worker", worker);
-		json_field(object, "epoch", epoch);
-		out = json_dumps(object, JSON_COMPACT);
-		json_decref(object);
-		g_free(text);
-		return (out);
-	}
-	for (p = text; *p != '\0'; p++)
-		if (g_ascii_iscntrl(*p))
-			*p = ' ';
-	line = g_string_new(NULL);
-	g_string_printf(line, "%s %s: %s", when, level_name(level), text);
-	text_field(line, "submission", submission);
-	text_field(line, "worker", worker);
-	text_field(line, "epoch", epoch);
-	out = strdup(line->str);
-	(void)g_string_free(line, TRUE);
+	gchar *text;
+
+	format_time(line->wall_ms, when);
+	text = g_utf8_make_valid(line->message, -1);
+	out = json ? format_json(line, when, text) :
+		     format_text(line, when, text);
 	g_free(text);
 	return (out);
 }
@@ -159,25 +212,93 @@
 	return ("");
 }
 
+void
+mlk_log_output(int fd, uint32_t lines_per_s)
+{
+	output.fd = fd;
+	output.rate = lines_per_s;
+	output.allowance = (double)lines_per_s * LOG_BURST_S;
+	output.at_us = g_get_monotonic_time();
+}
+
+/*
+ * Tells whether one more line is within the bound on lines.
+ */
+static bool
+take_allowance(void)
+{
+	int64_t now_us;
+
+	if (output.rate == 0)
+		return (true);
+	now_us = g_get_monotonic_time();
+	output.allowance +=
+	    (double)(now_us - output.at_us) / G_USEC_PER_SEC * output.rate;
+	output.allowance =
+	    MIN(output.allowance, (double)output.rate * LOG_BURST_S);
+	output.at_us = now_us;
+	if (output.allowance < 1.0)
+		return (false);
+	output.allowance -= 1.0;
+	return (true);
+}
+
+/*
+ * Writes a whole line, or nothing when that would block: a pipe that is ready
+ * takes PIPE_BUF bytes at once.
+ */
+static bool
+write_whole(const char *text)
+{
+	struct pollfd pfd = { .fd = output.fd, .events = POLLOUT };
+	char buf[PIPE_BUF];
+	size_t len;
+
+	len = strlen(text);
+	if (len >= sizeof(buf))
+		len = sizeof(buf) - 1;
+	memcpy(buf, text, len);
+	buf[len++] = '\n';
+	if (output.rate != 0 &&
+	    (poll(&pfd, 1, 0) <= 0 || (pfd.revents & POLLOUT) == 0))
+		return (false);
+	return (write(output.fd, buf, len) == (ssize_t)len);
+}
+
 static GLogWriterOutput
 write_line(
     GLogLevelFlags flags, const GLogField *fields, gsize n, gpointer user)
 {
-	enum mlk_log_level level;
-	char *line;
+	struct mlk_log_line line = { 0 };
+	char left_out[24] = "";
+	bool written;
+	char *text;
 
 	(void)user;
-	level = level_from_glib(flags);
-	if (level > log_max)
+	line.level = level_from_glib(flags);
+	if (line.level > log_max)
 		return (G_LOG_WRITER_HANDLED);
-	line = mlk_log_format(log_json, g_get_real_time() / 1000, level,
-	    field_text(fields, n, "MESSAGE"),
-	    field_text(fields, n, "SUBMISSION"),
-	    field_text(fields, n, "WORKER"), field_text(fields, n, "EPOCH"));
-	if (line == NULL)
+	if (!take_allowance()) {
+		output.left_out++;
+		return (G_LOG_WRITER_HANDLED);
+	}
+	if (output.left_out > 0)
+		(void)snprintf(
+		    left_out, sizeof(left_out), "%" PRIu64, output.left_out);
+	line.wall_ms = g_get_real_time() / 1000;
+	line.message = field_text(fields, n, "MESSAGE");
+	line.request = field_text(fields, n, "REQUEST");
+	line.job = field_text(fields, n, "JOB");
+	line.submission = field_text(fields, n, "SUBMISSION");
+	line.worker = field_text(fields, n, "WORKER");
+	line.epoch = field_text(fields, n, "EPOCH");
+	line.left_out = left_out;
+	text = mlk_log_format(log_json, &line);
+	if (text == NULL)
 		return (G_LOG_WRITER_UNHANDLED);
-	(void)fprintf(stderr, "%s\n", line);
-	free(line);
+	written = write_whole(text);
+	output.left_out = written ? 0 : output.left_out + 1;
+	free(text);
 	return (G_LOG_WRITER_HANDLED);
 }
 
@@ -242,3 +363,22 @@
 	log_fields(fx->u.log.level, fx->u.log.text, fx->u.log.submission,
 	    fx->u.log.worker, epoch);
 }
+
+/*
+ * Writes a decision of a reducer.
+ */
+void
+mlk_log_decision(const struct mlk_decision *decision)
+{
+	const GLogField fields[LOG_FIELDS] = {
+		{ "MESSAGE", decision->text, -1 },
+		{ "GLIB_DOMAIN", G_LOG_DOMAIN, -1 },
+		{ "REQUEST", decision->request, -1 },
+		{ "JOB", decision->job, -1 },
+		{ "WORKER", decision->worker, -1 },
+	};
+
+	if (decision->level <= log_max)
+		g_log_structured_array(
+		    level_to_glib(decision->level), fields, LOG_FIELDS);
+}
--- a/src/app/metrics.c
+++ b/src/app/metrics.c
@@ -108,6 +108,53 @@
 #undef G
 }
 
+void
+mlk_metrics_dispatch(GString *out, const struct mlk_dispatch_counters *counters,
+    const struct mlk_dispatch_gauges *gauges)
+{
+#define X(field, help)                                                    \
+	mlk_metrics_counter(out, "monsoonlock_dispatch_" #field "_total", \
+	    help, counters->field);
+	MLK_DISPATCH_COUNTERS(X)
+#undef X
+#define G(field, help)     \
+	mlk_metrics_gauge( \
+	    out, "monsoonlock_dispatch_" #field, help, gauges->field);
+	G(ready, "1 when the entry takes work")
+	G(agents, "Agents attached")
+	G(agents_ready, "Agents attached whose worker takes work")
+	G(peers, "Peer entries linked")
+	G(jobs, "Jobs at work")
+	G(queued, "Tasks that wait for a place")
+	G(in_flight, "Tasks at agents")
+	G(routing_version, "Version of the routing table in force")
+#undef G
+}
+
+void
+mlk_metrics_runner(GString *out, const struct mlk_runner_counters *counters,
+    const struct mlk_runner_gauges *gauges)
+{
+#define X(field, help)                                                        \
+	mlk_metrics_counter(out, "monsoonlock_runner_" #field "_total", help, \
+	    counters->field);
+	MLK_RUNNER_COUNTERS(X)
+#undef X
+#define G(name, value, help) \
+	mlk_metrics_gauge(out, "monsoonlock_runner_" name, help, value);
+	G("ready", gauges->ready, "1 when the worker is offered to an entry")
+	G("entries", gauges->entries, "Entries attached to")
+	G("running", gauges->running, "Runs that hold room")
+	G("waiting", gauges->waiting, "Tasks that wait for room")
+	G("capacity_cpu", gauges->capacity.cpu,
+	    "Processor of the worker, in thousandths of a core")
+	G("free_cpu", gauges->free.cpu, "Of it free")
+	G("capacity_mem_mb", gauges->capacity.mem_mb, "Memory of the worker")
+	G("free_mem_mb", gauges->free.mem_mb, "Of it free")
+	G("fence", gauges->fence, "Fence of the next order")
+#undef G
+}
+
 void
 mlk_metrics_links(GString *out, const struct mlk_link_counters *counters)
 {
--- a/src/app/settings.c
+++ b/src/app/settings.c
@@ -214,6 +214,12 @@
 	return (MLK_ERR_SETTINGS);
 }
 
+static double
+ms_per_unit(const struct rule *rule)
+{
+	return (rule->kind == RULE_S ? 1000.0 : 1.0);
+}
+
 /*
  * Writes what a rule accepts, in words.
  */
@@ -249,6 +255,12 @@
 	case RULE_TOKENS:
 		(void)snprintf(out, size, "a list of {name, role, token}");
 		break;
+	case RULE_MS:
+	case RULE_S:
+		(void)snprintf(out, size, "a number from %g to %g",
+		    (double)rule->min / ms_per_unit(rule),
+		    (double)rule->max / ms_per_unit(rule));
+		break;
 	}
 }
 
@@ -291,6 +303,8 @@
 	case RULE_NAME:
 	case RULE_ADDR:
 	case RULE_PATH:
+	case RULE_MS:
+	case RULE_S:
 		value.string.max = TEXT_MAX;
 		break;
 	}
@@ -643,6 +657,21 @@
 	return (0);
 }
 
+static int
+apply_decimal(const struct source *src, const struct rule *rule,
+    const char *text, void *target, struct mlk_error *err)
+{
+	double value;
+	char *end;
+
+	value = g_ascii_strtod(text, &end) * ms_per_unit(rule);
+	if (end == text || *end != '\0' || !(value >= (double)rule->min) ||
+	    !(value <= (double)rule->max))
+		return (reject_rule(src, rule, text, err));
+	*(uint32_t *)target = (uint32_t)(value + 0.5);
+	return (0);
+}
+
 /*
  * Checks one value that is present and stores it at target.
  */
@@ -678,6 +707,9 @@
 	case RULE_ADDR_LIST:
 		return (apply_addr_list(src, rule, raw->value[slot],
 		    raw->count[slot], target, err));
+	case RULE_MS:
+	case RULE_S:
+		return (apply_decimal(src, rule, text, target, err));
 	case RULE_TOKENS:
 		return (apply_tokens(src, rule, raw->value[slot],
 		    raw->count[slot], target, err));
@@ -703,7 +735,8 @@
 				return (rc);
 		} else if (rule->required) {
 			return (reject_rule(src, rule, "nothing", err));
-		} else if (rule->kind == RULE_UINT) {
+		} else if (rule->kind == RULE_UINT || rule->kind == RULE_MS ||
+		    rule->kind == RULE_S) {
 			*(uint32_t *)(void *)target = rule->initial;
 		} else if (rule->kind == RULE_CHOICE) {
 			*(int *)(void *)target = (int)rule->initial;
--- a/src/app/settings.h
+++ b/src/app/settings.h
@@ -16,6 +16,8 @@
 	RULE_PATH, /* char[MLK_PATH_MAX] */
 	RULE_ADDR_LIST, /* struct addr_list */
 	RULE_TOKENS, /* struct mlk_tokens */
+	RULE_MS, /* uint32_t; a decimal number of ms, rounded */
+	RULE_S, /* uint32_t in ms, as min and max; written in seconds */
 };
 
 struct addr_list {
@@ -34,7 +36,7 @@
 	const char *const *choices; /* NULL-terminated */
 };
 
-#define RULES_MAX 32
+#define RULES_MAX 40
 
 /* Reads the file into result, whose other bytes are left alone. */
 int settings_read(const char *path, const struct rule *rules, size_t nrules,
--- /dev/null
+++ b/src/app/settings_site.c
@@ -0,0 +1,162 @@
+/*
+ * The settings of the programs around the dispatch library: an entry for
+ * ephemeral jobs, and the agent beside a worker with a room.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "settings.h"
+
+/* Where the rules of both programs put their values. */
+struct site_target {
+	struct mlk_site_settings site;
+	struct addr_list entries;
+	uint32_t links_port;
+	int log_level;
+	int log_format;
+	union {
+		struct mlk_site_entry_settings entry;
+		struct mlk_site_agent_settings agent;
+	} u;
+};
+
+#define AT(member) offsetof(struct site_target, member)
+#define SITE(member) AT(site.member)
+#define GRACE_MAX_MS 3600000
+#define LEASE_MAX_MS 60000
+
+#define SITE_RULES                                                            \
+	{ "id", RULE_NAME, SITE(id), true, 0, 0, 0, NULL },                   \
+	    { "dc", RULE_NAME, SITE(dc), true, 0, 0, 0, NULL },               \
+	    { "log.level", RULE_CHOICE, AT(log_level), false, 0, 0,           \
+		    MLK_LOG_INFO, settings_levels },                          \
+	    { "log.format", RULE_CHOICE, AT(log_format), false, 0, 0, 1,      \
+		    settings_formats },                                       \
+	    { "log.lines_per_s", RULE_UINT, SITE(log_lines_per_s), false, 1,  \
+		    100000, 50, NULL },                                       \
+	    { "store.address", RULE_ADDR, SITE(store_address), true, 0, 0, 0, \
+		    NULL },                                                   \
+	    { "metrics.listen", RULE_ADDR, SITE(metrics_listen), false, 0, 0, \
+		    0, NULL },                                                \
+	    { "entries", RULE_ADDR_LIST, AT(entries), false, 0, 0, 0, NULL }, \
+	    { "links.port", RULE_UINT, AT(links_port), false, 1, UINT16_MAX,  \
+		    0, NULL },                                                \
+	    { "timing.grace_s", RULE_S, SITE(grace_ms), false, 100,           \
+		    GRACE_MAX_MS, 6000, NULL },                               \
+	    { "timing.lease_ms", RULE_MS, SITE(lease_ms), false, 100,         \
+		    LEASE_MAX_MS, 1000, NULL },                               \
+	{                                                                     \
+		"timing.resend_ms", RULE_MS, SITE(resend_ms), false, 100,     \
+		    LEASE_MAX_MS, 1300, NULL                                  \
+	}
+
+static const struct rule entry_rules[] = {
+	SITE_RULES,
+	{ "links.listen", RULE_ADDR, AT(u.entry.links_listen), true, 0, 0, 0,
+	    NULL },
+	{ "callers.listen", RULE_ADDR, AT(u.entry.callers_listen), true, 0, 0,
+	    0, NULL },
+	{ "callers.max_connections", RULE_UINT, AT(u.entry.max_connections),
+	    false, 1, 1000000, 3000, NULL },
+	{ "callers.max_jobs", RULE_UINT, AT(u.entry.max_jobs), false, 1,
+	    1000000, 20000, NULL },
+	{ "readiness.listen", RULE_ADDR, AT(u.entry.readiness_listen), true, 0,
+	    0, 0, NULL },
+};
+
+static const struct rule agent_rules[] = {
+	SITE_RULES,
+	{ "worker.address", RULE_ADDR, AT(u.agent.worker_address), true, 0, 0,
+	    0, NULL },
+	{ "worker.pool", RULE_NAME, AT(u.agent.pool), false, 0, 0, 0, NULL },
+	{ "announcements.listen", RULE_ADDR, AT(u.agent.announcements_listen),
+	    true, 0, 0, 0, NULL },
+};
+
+/*
+ * Reads a file.  The addresses of entries may be those of another listener of
+ * theirs; links.port, when it is there, takes the place of each port.
+ */
+static int
+load(const char *path, const struct rule *rules, size_t nrules,
+    struct site_target *target, struct mlk_error *err)
+{
+	char *colon;
+	uint32_t i;
+	int rc;
+
+	memset(target, 0, sizeof(*target));
+	rc = settings_read(path, rules, nrules, target, err);
+	if (rc != 0) {
+		g_free(target->entries.items);
+		return (rc);
+	}
+	target->site.log_level = (enum mlk_log_level)target->log_level;
+	target->site.log_json = target->log_format == 1;
+	for (i = 0; target->links_port != 0 && i < target->entries.n; i++) {
+		colon = strrchr(target->entries.items[i], ':');
+		(void)snprintf(colon,
+		    MLK_ADDR_MAX - (size_t)(colon - target->entries.items[i]),
+		    ":%u", target->links_port);
+	}
+	target->site.nentries = target->entries.n;
+	target->site.entries = target->entries.items;
+	return (0);
+}
+
+int
+mlk_site_entry_settings_load(const char *path,
+    struct mlk_site_entry_settings **out, struct mlk_error *err)
+{
+	struct site_target target;
+	int rc;
+
+	rc = load(path, entry_rules,
+	    sizeof(entry_rules) / sizeof(entry_rules[0]), &target, err);
+	if (rc != 0)
+		return (rc);
+	target.u.entry.site = target.site;
+	*out = g_memdup2(&target.u.entry, sizeof(target.u.entry));
+	return (0);
+}
+
+/*
+ * Frees settings from mlk_site_entry_settings_load(); NULL is allowed.
+ */
+void
+mlk_site_entry_settings_free(struct mlk_site_entry_settings *settings)
+{
+	if (settings == NULL)
+		return;
+	g_free(settings->site.entries);
+	g_free(settings);
+}
+
+int
+mlk_site_agent_settings_load(const char *path,
+    struct mlk_site_agent_settings **out, struct mlk_error *err)
+{
+	struct site_target target;
+	int rc;
+
+	rc = load(path, agent_rules,
+	    sizeof(agent_rules) / sizeof(agent_rules[0]), &target, err);
+	if (rc != 0)
+		return (rc);
+	target.u.agent.site = target.site;
+	*out = g_memdup2(&target.u.agent, sizeof(target.u.agent));
+	return (0);
+}
+
+/*
+ * Frees settings from mlk_site_agent_settings_load(); NULL is allowed.
+ */
+void
+mlk_site_agent_settings_free(struct mlk_site_agent_settings *settings)
+{
+	if (settings == NULL)
+		return;
+	g_free(settings->site.entries);
+	g_free(settings);
+}
--- a/src/base/clock.c
+++ b/src/base/clock.c
@@ -32,6 +32,25 @@
 	return (&clock);
 }
 
+static void
+boottime_monotonic(void *arg, struct timespec *ts)
+{
+	(void)arg;
+	(void)clock_gettime(CLOCK_BOOTTIME, ts);
+}
+
+const struct mlk_clock *
+mlk_clock_suspend_aware(void)
+{
+	static const struct mlk_clock clock = {
+		.arg = NULL,
+		.monotonic = boottime_monotonic,
+		.realtime = system_realtime,
+	};
+
+	return (&clock);
+}
+
 /*
  * Returns ts in nanoseconds.
  */
--- a/src/core/types.c
+++ b/src/core/types.c
@@ -240,6 +240,16 @@
 	case MLK_MSG_PEERS:
 		free(msg->u.peers.peers);
 		break;
+	case MLK_MSG_RUN:
+		mlk_blob_clear(&msg->u.run.spec);
+		free(msg->u.run.tasks);
+		break;
+	case MLK_MSG_ENDS:
+		free(msg->u.ends.items);
+		break;
+	case MLK_MSG_ROUTES:
+		mlk_routing_clear(&msg->u.routes);
+		break;
 	default:
 		break;
 	}
@@ -275,6 +285,13 @@
 		[MLK_MSG_FORWARD_REPLY] = "FORWARD_REPLY",
 		[MLK_MSG_PEERS] = "PEERS",
 		[MLK_MSG_LEAVE] = "LEAVE",
+		[MLK_MSG_ATTACH] = "ATTACH",
+		[MLK_MSG_WORKER] = "WORKER",
+		[MLK_MSG_RUN] = "RUN",
+		[MLK_MSG_ENDS] = "ENDS",
+		[MLK_MSG_DROP] = "DROP",
+		[MLK_MSG_PING] = "PING",
+		[MLK_MSG_ROUTES] = "ROUTES",
 	};
 
 	if ((unsigned int)type >= MLK_MSG_TYPES || names[type] == NULL)
--- /dev/null
+++ b/src/dispatch/dispatcher.c
@@ -0,0 +1,252 @@
+/*
+ * The dispatcher of an entry: takes callers' jobs, places their tasks on
+ * workers and answers.  Every event ends with the same pass: what is due by
+ * time, then the placing of what waits.
+ */
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "dispatcher_priv.h"
+
+#define DEFAULT_MAX_JOBS 20000
+#define DEFAULT_GRACE_MS 5000
+#define EXIT_MARGIN_NS (500 * MS) /* of the grace, for the last answers */
+
+void
+mlk_dispatcher_options_default(struct mlk_dispatcher_options *options)
+{
+	memset(options, 0, sizeof(*options));
+	options->max_jobs = DEFAULT_MAX_JOBS;
+	options->grace_ms = DEFAULT_GRACE_MS;
+}
+
+/*
+ * Returns a dispatcher, whose options are copied.
+ */
+struct mlk_dispatcher *
+mlk_dispatcher_create(const struct mlk_dispatcher_options *options)
+{
+	struct mlk_dispatcher *d;
+	uint32_t i;
+
+	d = g_new0(struct mlk_dispatcher, 1);
+	d->options = *options;
+	d->options.entries = NULL;
+	mlk_rng_seed(&d->rng, options->seed);
+	d->links =
+	    g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
+	d->peers = g_ptr_array_new_with_free_func(g_free);
+	d->agents = g_ptr_array_new_with_free_func(dispatch_agent_free_record);
+	d->jobs = g_hash_table_new_full(
+	    g_int64_hash, g_int64_equal, NULL, dispatch_job_free);
+	d->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+	d->by_request =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+	d->queue = g_sequence_new(NULL);
+	for (i = 0; i < options->nentries; i++)
+		(void)dispatch_peer_learn(d, options->entries[i], true);
+	return (d);
+}
+
+void
+mlk_dispatcher_destroy(struct mlk_dispatcher *d)
+{
+	if (d == NULL)
+		return;
+	g_sequence_free(d->queue);
+	g_hash_table_destroy(d->by_request);
+	g_hash_table_destroy(d->by_id);
+	g_hash_table_destroy(d->jobs);
+	g_ptr_array_free(d->agents, TRUE);
+	g_ptr_array_free(d->peers, TRUE);
+	g_hash_table_destroy(d->links);
+	mlk_routing_clear(&d->routing);
+	g_free(d);
+}
+
+/*
+ * Logs a decision; job and worker may be NULL.
+ */
+void
+dispatch_log(struct mlk_dispatcher *d, enum mlk_log_level level,
+    const struct job *job, const char *worker, const char *fmt, ...)
+{
+	struct mlk_dispatch_effect *fx;
+	va_list ap;
+
+	fx = mlk_dispatch_push(d->out, MLK_DISPATCH_FX_LOG);
+	if (fx == NULL)
+		return;
+	fx->u.log.level = level;
+	if (worker != NULL)
+		(void)g_strlcpy(
+		    fx->u.log.worker, worker, sizeof(fx->u.log.worker));
+	if (job != NULL) {
+		(void)g_strlcpy(fx->u.log.job, job->id, sizeof(fx->u.log.job));
+		(void)g_strlcpy(fx->u.log.request, job->request_id,
+		    sizeof(fx->u.log.request));
+	}
+	va_start(ap, fmt);
+	(void)vsnprintf(fx->u.log.text, sizeof(fx->u.log.text), fmt, ap);
+	va_end(ap);
+}
+
+/*
+ * Notes a pause of this process: what arrived meanwhile is read first, before
+ * anybody's silence is judged by the clock.
+ */
+static void
+note_pause(struct mlk_dispatcher *d, int64_t now)
+{
+	int64_t gap;
+
+	gap = d->now == 0 ? 0 : now - d->now;
+	d->now = now;
+	if (gap >= PAUSE_NS) {
+		d->pause = gap;
+		d->paused_until = now + PAUSE_GRACE_NS;
+		dispatch_log(d, MLK_LOG_NOTICE, NULL, NULL,
+		    "this process stood still for %" PRId64 " ms", gap / MS);
+	} else if (now >= d->paused_until) {
+		d->pause = 0;
+	}
+}
+
+static void
+begin_stop(struct mlk_dispatcher *d)
+{
+	if (d->stopping)
+		return;
+	d->stopping = true;
+	d->stop_since = d->now;
+	dispatch_log(d, MLK_LOG_NOTICE, NULL, NULL,
+	    "planned stop: %u jobs at work", g_hash_table_size(d->jobs));
+}
+
+/*
+ * Ends the planned stop when the balancer sends nobody here any more and
+ * every job is answered, or when its time is nearly over.
+ */
+static void
+stop_due(struct mlk_dispatcher *d)
+{
+	int64_t since;
+
+	if (!d->stopping || d->exited)
+		return;
+	since = d->now - d->stop_since;
+	if (since >= (int64_t)d->options.grace_ms * MS - EXIT_MARGIN_NS)
+		dispatch_jobs_end(d);
+	else if (since < BALANCER_NS || g_hash_table_size(d->jobs) > 0)
+		return;
+	d->exited = true;
+	(void)mlk_dispatch_push(d->out, MLK_DISPATCH_FX_EXIT);
+}
+
+static void
+take_event(struct mlk_dispatcher *d, const struct mlk_dispatch_event *ev)
+{
+	uint32_t i;
+
+	switch (ev->type) {
+	case MLK_DISPATCH_SUBMIT:
+		dispatch_submit(d, ev);
+		break;
+	case MLK_DISPATCH_GONE:
+		dispatch_gone(d, ev->u.gone.request);
+		break;
+	case MLK_DISPATCH_LINK_UP:
+		dispatch_link_up(d, ev->u.link.link, ev->u.link.connect);
+		break;
+	case MLK_DISPATCH_LINK_DOWN:
+		dispatch_link_down(d, ev->u.link.link, ev->u.link.connect);
+		break;
+	case MLK_DISPATCH_MSG:
+		dispatch_msg(d, ev->u.msg.link, ev->u.msg.msg);
+		break;
+	case MLK_DISPATCH_ENTRIES:
+		for (i = 0; i < ev->u.entries.n; i++)
+			(void)dispatch_peer_learn(
+			    d, ev->u.entries.addrs[i], false);
+		break;
+	case MLK_DISPATCH_ROUTES:
+		dispatch_routes(d, ev->u.routes);
+		break;
+	case MLK_DISPATCH_STOP:
+		begin_stop(d);
+		break;
+	case MLK_DISPATCH_TICK:
+		break;
+	}
+}
+
+/*
+ * Applies one event and appends its effects.  Returns 0, or
+ * MLK_ERR_INVALID after EXIT.
+ */
+int
+mlk_dispatcher_apply(struct mlk_dispatcher *d,
+    const struct mlk_dispatch_event *ev, struct mlk_dispatch_effects *out,
+    struct mlk_error *err)
+{
+	if (d->exited)
+		return (mlk_error_set(
+		    err, MLK_ERR_INVALID, "the dispatcher has stopped"));
+	d->out = out;
+	note_pause(d, ev->now);
+	take_event(d, ev);
+	if (ev->type == MLK_DISPATCH_TICK) {
+		dispatch_peers_due(d);
+		dispatch_agents_due(d);
+		dispatch_jobs_due(d);
+	}
+	dispatch_place(d);
+	stop_due(d);
+	d->out = NULL;
+	return (0);
+}
+
+bool
+mlk_dispatcher_routes(
+    const struct mlk_dispatcher *d, const char *host, const char *path)
+{
+	return (mlk_routing_match(&d->routing, host, path) != NULL);
+}
+
+const struct mlk_dispatch_counters *
+mlk_dispatch_counters(const struct mlk_dispatcher *d)
+{
+	return (&d->counters);
+}
+
+void
+mlk_dispatch_gauges(
+    const struct mlk_dispatcher *d, struct mlk_dispatch_gauges *out)
+{
+	const struct agent *a;
+	const struct peer *p;
+	guint i;
+
+	memset(out, 0, sizeof(*out));
+	for (i = 0; i < d->agents->len; i++) {
+		a = g_ptr_array_index(d->agents, i);
+		if (a->link != 0)
+			out->agents++;
+		if (a->link != 0 && a->known &&
+		    a->info.state == MLK_WORKER_READY)
+			out->agents_ready++;
+	}
+	for (i = 0; i < d->peers->len; i++) {
+		p = g_ptr_array_index(d->peers, i);
+		if (p->link != 0)
+			out->peers++;
+	}
+	out->ready =
+	    !d->stopping && d->routing.version > 0 && out->agents_ready > 0;
+	out->jobs = g_hash_table_size(d->jobs);
+	out->queued = d->nqueued;
+	out->in_flight = d->nsent;
+	out->routing_version = d->routing.version;
+}
--- /dev/null
+++ b/src/dispatch/dispatcher_agents.c
@@ -0,0 +1,243 @@
+/*
+ * Agents and the load of their workers, as this entry knows them.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "dispatcher_priv.h"
+
+void
+dispatch_agent_free_record(gpointer data)
+{
+	struct agent *a = data;
+
+	(void)g_array_free(a->unseen, TRUE);
+	(void)g_ptr_array_free(a->tasks, TRUE);
+	g_free(a);
+}
+
+static struct agent *
+agent_get(struct mlk_dispatcher *d, const char *id)
+{
+	struct agent *a;
+	guint i;
+
+	for (i = 0; i < d->agents->len; i++) {
+		a = g_ptr_array_index(d->agents, i);
+		if (strcmp(a->id, id) == 0)
+			return (a);
+	}
+	a = g_new0(struct agent, 1);
+	(void)g_strlcpy(a->id, id, sizeof(a->id));
+	a->unseen = g_array_new(FALSE, FALSE, sizeof(struct unseen));
+	a->tasks = g_ptr_array_new();
+	g_ptr_array_add(d->agents, a);
+	return (a);
+}
+
+/*
+ * Returns what the worker has free, less what was sent and is not in its load
+ * yet.
+ */
+struct mlk_room
+dispatch_agent_free(const struct agent *a)
+{
+	struct mlk_room free = a->load.free;
+	guint i;
+
+	for (i = 0; i < a->unseen->len; i++)
+		mlk_room_take(
+		    &free, &g_array_index(a->unseen, struct unseen, i).room);
+	return (free);
+}
+
+/*
+ * Every task of the agent's link is over: those that were detached wait for
+ * a place again.
+ */
+static void
+tasks_over(struct mlk_dispatcher *d, struct agent *a)
+{
+	a->detached_until = 0;
+	while (a->tasks->len > 0)
+		dispatch_task_ended(
+		    d, g_ptr_array_index(a->tasks, 0), MLK_RUN_LOST);
+}
+
+/*
+ * An agent attaches: nothing of this entry is left at its worker.
+ */
+void
+dispatch_attach(
+    struct mlk_dispatcher *d, struct link *link, const struct mlk_msg *msg)
+{
+	struct mlk_msg *welcome;
+	struct agent *a;
+
+	a = agent_get(d, msg->u.attach.id);
+	if (a->link != 0) {
+		dispatch_close(d, a->link);
+		dispatch_agent_down(d, a);
+	}
+	tasks_over(d, a);
+	link->kind = LINK_AGENT;
+	link->agent = a;
+	a->link = link->link;
+	a->incarnation = msg->u.attach.incarnation;
+	a->near = strcmp(msg->u.attach.dc, d->options.self.dc) == 0;
+	a->known = false;
+	a->seq = 0;
+	(void)g_array_set_size(a->unseen, 0);
+	a->heard = d->now;
+	mlk_skew_reset(&a->skew);
+	welcome = dispatch_send(d, a->link, MLK_MSG_WELCOME);
+	welcome->u.welcome.self = d->options.self;
+	welcome->u.welcome.config_version = d->routing.version;
+	a->sent = d->now;
+	dispatch_send_peers(d, a->link);
+	dispatch_log(d, MLK_LOG_NOTICE, NULL, a->id, "agent attached");
+}
+
+static void
+take_load(struct agent *a, uint64_t seen, const struct mlk_worker_load *load)
+{
+	guint n = 0;
+
+	a->load = *load;
+	while (n < a->unseen->len &&
+	    g_array_index(a->unseen, struct unseen, n).seq <= seen)
+		n++;
+	if (n > 0)
+		(void)g_array_remove_range(a->unseen, 0, n);
+}
+
+static void
+note_sent_at(struct mlk_dispatcher *d, struct agent *a, uint64_t sent_at)
+{
+	int64_t age;
+
+	age = mlk_skew_age(&a->skew, (int64_t)dispatch_now_ms(d), sent_at);
+	a->heard = MAX(a->heard, d->now - age * MS);
+}
+
+void
+dispatch_worker(
+    struct mlk_dispatcher *d, struct agent *a, const struct mlk_msg *msg)
+{
+	const struct mlk_worker_info *info = &msg->u.worker.info;
+
+	note_sent_at(d, a, msg->u.worker.sent_at);
+	if (!a->known || info->state != a->info.state ||
+	    info->boot != a->info.boot)
+		dispatch_log(d, MLK_LOG_INFO, NULL, a->id,
+		    "worker %s boot %" PRIu64 " state %d, cpu %u of %u free",
+		    info->id, info->boot, (int)info->state,
+		    msg->u.worker.load.free.cpu, info->capacity.cpu);
+	a->known = true;
+	a->info = *info;
+	take_load(a, msg->u.worker.seen, &msg->u.worker.load);
+	d->place = true;
+}
+
+static struct task *
+task_find(struct mlk_dispatcher *d, const struct mlk_run_result *result)
+{
+	struct task *task;
+	struct job *job;
+	uint32_t i;
+
+	job = g_hash_table_lookup(d->jobs, &result->job);
+	for (i = 0; job != NULL && i < job->ntasks; i++) {
+		task = &job->tasks[i];
+		if (task->step == result->step && task->index == result->index)
+			return (task);
+	}
+	return (NULL);
+}
+
+void
+dispatch_ends(
+    struct mlk_dispatcher *d, struct agent *a, const struct mlk_msg *msg)
+{
+	const struct mlk_run_result *result;
+	struct task *task;
+	uint32_t i;
+
+	note_sent_at(d, a, msg->u.ends.sent_at);
+	take_load(a, msg->u.ends.seen, &msg->u.ends.load);
+	d->place = true;
+	for (i = 0; i < msg->u.ends.n; i++) {
+		result = &msg->u.ends.items[i];
+		task = task_find(d, result);
+		if (task != NULL && task->state == TASK_SENT &&
+		    task->agent == a)
+			dispatch_task_ended(d, task, result->end);
+	}
+}
+
+/*
+ * The link with an agent is over.  The agent stops what it holds for this
+ * entry, or is gone and its leases run out: its tasks are over after
+ * DETACHED_NS, or when it attaches again.
+ */
+void
+dispatch_agent_down(struct mlk_dispatcher *d, struct agent *a)
+{
+	guint i;
+
+	a->link = 0;
+	a->known = false;
+	a->waiting = 0;
+	a->detached_until = d->now + DETACHED_NS;
+	(void)g_array_set_size(a->unseen, 0);
+	for (i = 0; i < a->tasks->len; i++)
+		dispatch_task_detach(d, g_ptr_array_index(a->tasks, i));
+	dispatch_log(d, MLK_LOG_NOTICE, NULL, a->id,
+	    "link with the agent ended, %u tasks there", a->tasks->len);
+}
+
+static void
+ping(struct mlk_dispatcher *d, struct agent *a)
+{
+	struct mlk_msg *msg;
+
+	msg = dispatch_send(d, a->link, MLK_MSG_PING);
+	msg->u.ping.sent_at = dispatch_now_ms(d);
+	msg->u.ping.routing_version = d->routing.version;
+	a->sent = d->now;
+}
+
+/*
+ * Pings, silence, and tasks that are over with their lease.
+ */
+void
+dispatch_agents_due(struct mlk_dispatcher *d)
+{
+	struct agent *a;
+	bool busy;
+	guint i;
+
+	for (i = 0; i < d->agents->len; i++) {
+		a = g_ptr_array_index(d->agents, i);
+		if (a->link == 0) {
+			if (a->detached_until != 0 &&
+			    d->now >= a->detached_until)
+				tasks_over(d, a);
+			continue;
+		}
+		busy = a->tasks->len > 0;
+		if (d->now >= d->paused_until &&
+		    d->now - a->heard >=
+			(busy ? AGENT_SILENT_BUSY_NS : AGENT_SILENT_IDLE_NS)) {
+			d->counters.links_silent++;
+			dispatch_log(d, MLK_LOG_NOTICE, NULL, a->id,
+			    "agent silent for %" PRId64 " ms",
+			    (d->now - a->heard) / MS);
+			dispatch_close(d, a->link);
+			dispatch_agent_down(d, a);
+		} else if (d->now - a->sent >=
+		    (busy ? AGENT_BEAT_BUSY_NS : AGENT_BEAT_IDLE_NS)) {
+			ping(d, a);
+		}
+	}
+}
--- /dev/null
+++ b/src/dispatch/dispatcher_jobs.c
@@ -0,0 +1,487 @@
+/*
+ * Jobs of callers: from the request to the answer.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "dispatcher_priv.h"
+
+void
+dispatch_job_free(gpointer data)
+{
+	struct job *job = data;
+
+	g_bytes_unref(job->spec);
+	g_free(job->steps);
+	g_free(job->left);
+	g_free(job->tasks);
+	g_free(job);
+}
+
+static void
+answer(struct mlk_dispatcher *d, uint64_t request,
+    enum mlk_work_outcome outcome, uint32_t retry_after_ms)
+{
+	struct mlk_dispatch_effect *fx;
+
+	fx = mlk_dispatch_push(d->out, MLK_DISPATCH_FX_ANSWER);
+	if (fx == NULL)
+		g_error("out of memory");
+	fx->u.answer.request = request;
+	fx->u.answer.outcome = outcome;
+	fx->u.answer.retry_after_ms = retry_after_ms;
+}
+
+static void
+count_outcome(struct mlk_dispatcher *d, enum mlk_work_outcome outcome)
+{
+	switch (outcome) {
+	case MLK_WORK_COMPLETED:
+		d->counters.completed++;
+		break;
+	case MLK_WORK_FAILED:
+		d->counters.failed++;
+		break;
+	case MLK_WORK_REFUSED:
+	case MLK_WORK_INVALID:
+		d->counters.refused++;
+		break;
+	case MLK_WORK_NO_ROUTE:
+		d->counters.no_route++;
+		break;
+	case MLK_WORK_BROKEN:
+		d->counters.broken++;
+		break;
+	case MLK_WORK_LATE:
+		d->counters.late++;
+		break;
+	}
+}
+
+/*
+ * Takes a task off the agent that it was sent to.
+ */
+static void
+task_unsend(struct mlk_dispatcher *d, struct task *task)
+{
+	struct agent *a = task->agent;
+
+	(void)g_ptr_array_remove_fast(a->tasks, task);
+	if (task->waits && task->state == TASK_SENT && a->waiting > 0)
+		a->waiting--;
+	task->waits = false;
+	task->agent = NULL;
+	task->job->nsent--;
+	d->nsent--;
+}
+
+/*
+ * Tells the agents that hold runs of a job to stop them, once each.
+ */
+static void
+drop_runs(struct mlk_dispatcher *d, struct job *job)
+{
+	struct task *task, *other;
+	struct mlk_msg *msg;
+	uint32_t i, k;
+
+	for (i = 0; i < job->ntasks; i++) {
+		task = &job->tasks[i];
+		if (task->state != TASK_SENT)
+			continue;
+		for (k = 0; k < i; k++) {
+			other = &job->tasks[k];
+			if (other->state == TASK_SENT &&
+			    other->agent == task->agent)
+				break;
+		}
+		if (k < i)
+			continue;
+		msg = dispatch_send(d, task->agent->link, MLK_MSG_DROP);
+		msg->u.drop.sent_at = dispatch_now_ms(d);
+		msg->u.drop.job = job->handle;
+		task->agent->sent = d->now;
+	}
+}
+
+/*
+ * Forgets a job.  Runs of it that are still at work are stopped.
+ */
+static void
+job_remove(struct mlk_dispatcher *d, struct job *job)
+{
+	struct task *task;
+	uint32_t i;
+
+	drop_runs(d, job);
+	for (i = 0; i < job->ntasks; i++) {
+		task = &job->tasks[i];
+		if (task->state == TASK_QUEUED)
+			dispatch_dequeue(d, task);
+		else if (task->state == TASK_SENT ||
+		    task->state == TASK_DETACHED)
+			task_unsend(d, task);
+		task->state = TASK_DONE;
+	}
+	for (i = 0; i < job->nrequests; i++)
+		(void)g_hash_table_remove(d->by_request, &job->requests[i]);
+	(void)g_hash_table_remove(d->by_id, job->id);
+	(void)g_hash_table_remove(d->jobs, &job->handle);
+}
+
+/*
+ * Answers every request that waits for a job, and forgets the job.
+ */
+static void
+job_answer(struct mlk_dispatcher *d, struct job *job,
+    enum mlk_work_outcome outcome, uint32_t retry_after_ms)
+{
+	uint32_t i;
+
+	for (i = 0; i < job->nrequests; i++) {
+		count_outcome(d, outcome);
+		answer(d, job->requests[i], outcome, retry_after_ms);
+	}
+	job_remove(d, job);
+}
+
+/*
+ * Releases the tasks of steps whose earlier steps are all done.
+ */
+static void
+release_steps(struct mlk_dispatcher *d, struct job *job)
+{
+	uint64_t done = 0;
+	uint32_t i;
+
+	for (i = 0; i < job->nsteps; i++) {
+		if (job->left[i] == 0)
+			done |= 1ULL << i;
+	}
+	for (i = 0; i < job->ntasks; i++) {
+		if (job->tasks[i].state == TASK_BLOCKED &&
+		    (job->steps[job->tasks[i].step].after & ~done) == 0)
+			dispatch_enqueue(d, &job->tasks[i]);
+	}
+}
+
+static void
+avoid(struct job *job, struct agent *a)
+{
+	uint32_t i;
+
+	for (i = 0; i < job->navoid; i++) {
+		if (job->avoid[i] == a)
+			return;
+	}
+	if (job->navoid < AVOID_MAX)
+		job->avoid[job->navoid++] = a;
+}
+
+static void
+task_done(struct mlk_dispatcher *d, struct task *task)
+{
+	struct job *job = task->job;
+
+	task->state = TASK_DONE;
+	job->left[task->step]--;
+	job->nleft--;
+	if (job->nleft == 0)
+		job_answer(d, job, MLK_WORK_COMPLETED, 0);
+	else if (job->left[task->step] == 0)
+		release_steps(d, job);
+}
+
+static void
+task_failed(struct mlk_dispatcher *d, struct task *task, struct agent *a)
+{
+	struct job *job = task->job;
+
+	d->counters.tasks_failed++;
+	task->failures++;
+	dispatch_log(d, MLK_LOG_INFO, job, a->id,
+	    "task %u.%u failed, %u of %u attempts", task->step, task->index,
+	    task->failures, job->attempts);
+	if (task->failures >= job->attempts) {
+		job_answer(d, job, MLK_WORK_FAILED, 0);
+		return;
+	}
+	avoid(job, a);
+	dispatch_enqueue(d, task);
+}
+
+/*
+ * A run is over, or is known not to have been: the task is done, or waits for
+ * a place again.
+ */
+void
+dispatch_task_ended(
+    struct mlk_dispatcher *d, struct task *task, enum mlk_run_end end)
+{
+	struct agent *a = task->agent;
+
+	task_unsend(d, task);
+	if (end != MLK_RUN_BUSY && end != MLK_RUN_REFUSED)
+		task->job->ran = true;
+	switch (end) {
+	case MLK_RUN_DONE:
+		task_done(d, task);
+		return;
+	case MLK_RUN_FAILED:
+		task_failed(d, task, a);
+		return;
+	case MLK_RUN_BUSY:
+		d->counters.tasks_busy++;
+		break;
+	case MLK_RUN_REFUSED:
+		d->counters.tasks_refused++;
+		break;
+	case MLK_RUN_LOST:
+	case MLK_RUN_STOPPED:
+		d->counters.tasks_lost++;
+		dispatch_log(d, MLK_LOG_INFO, task->job, a->id,
+		    "run of task %u.%u lost", task->step, task->index);
+		break;
+	case MLK_RUN_STALLED:
+		avoid(task->job, a);
+		dispatch_log(d, MLK_LOG_INFO, task->job, a->id,
+		    "task %u.%u made no progress there", task->step,
+		    task->index);
+		break;
+	}
+	dispatch_enqueue(d, task);
+}
+
+/*
+ * The link over which a task was sent is closed.
+ */
+void
+dispatch_task_detach(struct mlk_dispatcher *d, struct task *task)
+{
+	(void)d;
+	if (task->state == TASK_SENT)
+		task->state = TASK_DETACHED;
+	task->waits = false;
+}
+
+static struct job *
+job_create(struct mlk_dispatcher *d, const struct mlk_dispatch_event *ev,
+    const struct mlk_route *route)
+{
+	const struct mlk_work *work = ev->u.submit.work;
+	uint32_t i, k, n = 0;
+	int64_t deadline_ms;
+	struct job *job;
+
+	job = g_new0(struct job, 1);
+	job->handle = ++d->last_job;
+	(void)g_strlcpy(job->id, work->id, sizeof(job->id));
+	(void)g_strlcpy(
+	    job->request_id, ev->u.submit.request_id, sizeof(job->request_id));
+	(void)g_strlcpy(job->pool, route->pool, sizeof(job->pool));
+	job->priority = route->priority;
+	job->attempts = MAX(route->attempts, 1);
+	job->arrived = d->now;
+	deadline_ms = ev->u.submit.deadline_ms != 0 ? ev->u.submit.deadline_ms :
+						      route->timeout_ms;
+	/* It may have waited to be read for as long as this process stood. */
+	job->deadline = d->now + deadline_ms * MS - d->pause;
+	job->spec = g_bytes_new(work->spec, work->spec_len);
+	job->nsteps = work->nsteps;
+	job->steps =
+	    g_memdup2(work->steps, work->nsteps * sizeof(*work->steps));
+	job->left = g_new0(uint32_t, work->nsteps);
+	for (i = 0; i < work->nsteps; i++)
+		n += work->steps[i].count;
+	job->tasks = g_new0(struct task, n);
+	job->ntasks = n;
+	job->nleft = n;
+	for (i = 0, n = 0; i < work->nsteps; i++) {
+		job->left[i] = work->steps[i].count;
+		for (k = 0; k < work->steps[i].count; k++, n++) {
+			job->tasks[n].job = job;
+			job->tasks[n].step = i;
+			job->tasks[n].index = k;
+		}
+	}
+	(void)g_hash_table_insert(d->jobs, &job->handle, job);
+	(void)g_hash_table_insert(d->by_id, job->id, job);
+	return (job);
+}
+
+static void
+add_request(struct mlk_dispatcher *d, struct job *job, uint64_t request)
+{
+	job->requests[job->nrequests++] = request;
+	(void)g_hash_table_insert(
+	    d->by_request, g_memdup2(&request, sizeof(request)), job);
+}
+
+/*
+ * Refuses a request of which nothing was done.
+ */
+static void
+refuse(struct mlk_dispatcher *d, const struct mlk_dispatch_event *ev,
+    enum mlk_work_outcome outcome, const char *cause)
+{
+	struct mlk_dispatch_effect *fx;
+
+	count_outcome(d, outcome);
+	answer(d, ev->u.submit.request, outcome,
+	    outcome == MLK_WORK_REFUSED ? RETRY_AFTER_MS : 0);
+	fx = mlk_dispatch_push(d->out, MLK_DISPATCH_FX_LOG);
+	if (fx == NULL)
+		return;
+	fx->u.log.level = MLK_LOG_INFO;
+	(void)g_strlcpy(fx->u.log.request, ev->u.submit.request_id,
+	    sizeof(fx->u.log.request));
+	if (ev->u.submit.work != NULL)
+		(void)g_strlcpy(fx->u.log.job, ev->u.submit.work->id,
+		    sizeof(fx->u.log.job));
+	(void)g_snprintf(
+	    fx->u.log.text, sizeof(fx->u.log.text), "refused: %s", cause);
+}
+
+/*
+ * Returns why a request cannot be taken, or NULL.
+ */
+static const char *
+refusal(struct mlk_dispatcher *d, const struct mlk_dispatch_event *ev,
+    const struct mlk_route *route)
+{
+	if (ev->u.submit.work->unsupported != NULL)
+		return (ev->u.submit.work->unsupported);
+	if (g_hash_table_size(d->jobs) >= d->options.max_jobs)
+		return ("too many jobs at work");
+	if (d->pause > 0 && d->pause >= (int64_t)ev->u.submit.deadline_ms * MS)
+		return ("it may have waited here past its deadline");
+	if (!dispatch_pool_ready(d, route->pool))
+		return ("no worker of its pool can be reached");
+	return (NULL);
+}
+
+/*
+ * Takes a caller's request, or joins it to the job of that id which is at
+ * work for an earlier request.
+ */
+void
+dispatch_submit(struct mlk_dispatcher *d, const struct mlk_dispatch_event *ev)
+{
+	const struct mlk_route *route;
+	const char *cause;
+	struct job *job;
+
+	if (d->routing.version == 0) {
+		refuse(d, ev, MLK_WORK_REFUSED, "no routing table yet");
+		return;
+	}
+	route = mlk_routing_match(
+	    &d->routing, ev->u.submit.host, ev->u.submit.path);
+	if (route == NULL) {
+		refuse(d, ev, MLK_WORK_NO_ROUTE, "no route");
+		return;
+	}
+	if (ev->u.submit.work == NULL) {
+		refuse(d, ev, MLK_WORK_INVALID, "malformed");
+		return;
+	}
+	job = g_hash_table_lookup(d->by_id, ev->u.submit.work->id);
+	if (job != NULL && job->nrequests < REQUESTS_MAX) {
+		d->counters.jobs_joined++;
+		add_request(d, job, ev->u.submit.request);
+		return;
+	}
+	cause = job != NULL ? "too many requests for one job" :
+			      refusal(d, ev, route);
+	if (cause != NULL) {
+		refuse(d, ev, MLK_WORK_REFUSED, cause);
+		return;
+	}
+	d->counters.jobs++;
+	job = job_create(d, ev, route);
+	add_request(d, job, ev->u.submit.request);
+	release_steps(d, job);
+}
+
+/*
+ * A caller has left.  Nobody asks for the job later, so that its runs are
+ * stopped unless another request waits for it.
+ */
+void
+dispatch_gone(struct mlk_dispatcher *d, uint64_t request)
+{
+	struct job *job;
+	uint32_t i;
+
+	job = g_hash_table_lookup(d->by_request, &request);
+	if (job == NULL)
+		return;
+	(void)g_hash_table_remove(d->by_request, &request);
+	for (i = 0; i < job->nrequests; i++) {
+		if (job->requests[i] == request)
+			job->requests[i] = job->requests[--job->nrequests];
+	}
+	if (job->nrequests > 0)
+		return;
+	d->counters.abandoned++;
+	dispatch_log(d, MLK_LOG_INFO, job, NULL,
+	    "caller left after %" PRId64 " ms, %u tasks at work",
+	    (d->now - job->arrived) / MS, job->nsent);
+	job_remove(d, job);
+}
+
+/*
+ * Gives up a job: a refusal is true only if nothing of it ran, nor can.
+ */
+static void
+job_give_up(struct mlk_dispatcher *d, struct job *job,
+    enum mlk_work_outcome outcome, const char *cause)
+{
+	if (!job->ran && job->nsent == 0)
+		outcome = MLK_WORK_REFUSED;
+	dispatch_log(d, MLK_LOG_INFO, job, NULL,
+	    "given up after %" PRId64 " ms: %s, %u of %u tasks left, %u sent",
+	    (d->now - job->arrived) / MS, cause, job->nleft, job->ntasks,
+	    job->nsent);
+	job_answer(d, job, outcome, RETRY_AFTER_MS);
+}
+
+/*
+ * Jobs whose deadline has passed.
+ */
+void
+dispatch_jobs_due(struct mlk_dispatcher *d)
+{
+	GHashTableIter iter;
+	GPtrArray *over;
+	gpointer job;
+	guint i;
+
+	over = g_ptr_array_new();
+	g_hash_table_iter_init(&iter, d->jobs);
+	while (g_hash_table_iter_next(&iter, NULL, &job)) {
+		if (d->now >= ((struct job *)job)->deadline)
+			g_ptr_array_add(over, job);
+	}
+	for (i = 0; i < over->len; i++)
+		job_give_up(
+		    d, g_ptr_array_index(over, i), MLK_WORK_LATE, "deadline");
+	(void)g_ptr_array_free(over, TRUE);
+}
+
+/*
+ * Answers every job that is left: this process ends.
+ */
+void
+dispatch_jobs_end(struct mlk_dispatcher *d)
+{
+	GHashTableIter iter;
+	gpointer job;
+
+	for (;;) {
+		g_hash_table_iter_init(&iter, d->jobs);
+		if (!g_hash_table_iter_next(&iter, NULL, &job))
+			return;
+		job_give_up(d, job, MLK_WORK_BROKEN, "planned stop");
+	}
+}
--- /dev/null
+++ b/src/dispatch/dispatcher_links.c
@@ -0,0 +1,363 @@
+/*
+ * Links of an entry: agents and peers, and what peers tell each other: their
+ * addresses and newer routing tables.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "dispatcher_priv.h"
+
+uint64_t
+dispatch_now_ms(const struct mlk_dispatcher *d)
+{
+	return ((uint64_t)(d->now / MS));
+}
+
+/*
+ * Appends a message to be sent; the caller fills it at once.
+ */
+struct mlk_msg *
+dispatch_send(struct mlk_dispatcher *d, uint32_t link, enum mlk_msg_type type)
+{
+	struct mlk_dispatch_effect *fx;
+
+	fx = mlk_dispatch_push(d->out, MLK_DISPATCH_FX_SEND);
+	if (fx == NULL)
+		g_error("out of memory");
+	fx->u.send.link = link;
+	fx->u.send.msg.type = type;
+	return (&fx->u.send.msg);
+}
+
+/*
+ * Closes a link, about which nothing is heard any more.
+ */
+void
+dispatch_close(struct mlk_dispatcher *d, uint32_t link)
+{
+	struct mlk_dispatch_effect *fx;
+
+	fx = mlk_dispatch_push(d->out, MLK_DISPATCH_FX_CLOSE);
+	if (fx != NULL)
+		fx->u.close.link = link;
+	(void)g_hash_table_remove(d->links, GUINT_TO_POINTER(link));
+}
+
+/*
+ * Adds the address of an entry.  Returns the peer, or NULL for this entry's
+ * own address.
+ */
+struct peer *
+dispatch_peer_learn(struct mlk_dispatcher *d, const char *addr, bool configured)
+{
+	struct peer *p;
+	guint i;
+
+	if (addr[0] == '\0' || strcmp(addr, d->options.self.addr) == 0)
+		return (NULL);
+	for (i = 0; i < d->peers->len; i++) {
+		p = g_ptr_array_index(d->peers, i);
+		if (strcmp(p->addr, addr) == 0) {
+			p->configured = p->configured || configured;
+			return (p);
+		}
+	}
+	p = g_new0(struct peer, 1);
+	(void)g_strlcpy(p->addr, addr, sizeof(p->addr));
+	p->configured = configured;
+	p->retry_ns = CONNECT_RETRY_NS;
+	p->reached_at = d->now;
+	g_ptr_array_add(d->peers, p);
+	return (p);
+}
+
+static void
+tell_agents_of_peers(struct mlk_dispatcher *d)
+{
+	struct agent *a;
+	guint i;
+
+	for (i = 0; i < d->agents->len; i++) {
+		a = g_ptr_array_index(d->agents, i);
+		if (a->link != 0)
+			dispatch_send_peers(d, a->link);
+	}
+}
+
+/*
+ * Sends the entries that this one has a link with, itself included.
+ */
+void
+dispatch_send_peers(struct mlk_dispatcher *d, uint32_t link)
+{
+	struct mlk_msg *msg;
+	const struct peer *p;
+	guint i;
+
+	msg = dispatch_send(d, link, MLK_MSG_PEERS);
+	msg->u.peers.peers =
+	    calloc(d->peers->len + 1, sizeof(*msg->u.peers.peers));
+	if (msg->u.peers.peers == NULL)
+		g_error("out of memory");
+	msg->u.peers.peers[msg->u.peers.n++] = d->options.self;
+	for (i = 0; i < d->peers->len; i++) {
+		p = g_ptr_array_index(d->peers, i);
+		if (p->link != 0 && p->info.id[0] != '\0')
+			msg->u.peers.peers[msg->u.peers.n++] = p->info;
+	}
+}
+
+static void
+send_hello(struct mlk_dispatcher *d, uint32_t link)
+{
+	struct mlk_msg *msg;
+
+	msg = dispatch_send(d, link, MLK_MSG_PEER_HELLO);
+	msg->u.peer_hello.self = d->options.self;
+	msg->u.peer_hello.config_version = d->routing.version;
+}
+
+static struct peer *
+peer_of_connect(struct mlk_dispatcher *d, uint32_t connect)
+{
+	struct peer *p;
+	guint i;
+
+	for (i = 0; connect != 0 && i < d->peers->len; i++) {
+		p = g_ptr_array_index(d->peers, i);
+		if (p->connect == connect)
+			return (p);
+	}
+	return (NULL);
+}
+
+void
+dispatch_link_up(struct mlk_dispatcher *d, uint32_t link, uint32_t connect)
+{
+	struct link *l;
+	struct peer *p;
+
+	if (g_hash_table_size(d->links) >= LINKS_MAX) {
+		dispatch_close(d, link);
+		return;
+	}
+	l = g_new0(struct link, 1);
+	l->link = link;
+	(void)g_hash_table_insert(d->links, GUINT_TO_POINTER(link), l);
+	p = peer_of_connect(d, connect);
+	if (p == NULL)
+		return;
+	l->kind = LINK_PEER_OUT;
+	l->peer = p;
+	p->connect = 0;
+	p->link = link;
+	p->heard = d->now;
+	p->sent = d->now;
+	p->retry_ns = CONNECT_RETRY_NS;
+	send_hello(d, link);
+}
+
+static void
+peer_down(struct mlk_dispatcher *d, struct peer *p)
+{
+	p->link = 0;
+	p->reached_at = d->now;
+	p->retry_at = d->now + p->retry_ns;
+}
+
+void
+dispatch_link_down(struct mlk_dispatcher *d, uint32_t link, uint32_t connect)
+{
+	struct link *l;
+	struct peer *p;
+
+	p = peer_of_connect(d, connect);
+	if (p != NULL) {
+		p->connect = 0;
+		p->retry_at = d->now + p->retry_ns;
+		p->retry_ns = MIN(p->retry_ns * 2, CONNECT_RETRY_MAX_NS);
+		return;
+	}
+	l = g_hash_table_lookup(d->links, GUINT_TO_POINTER(link));
+	if (l == NULL)
+		return;
+	if (l->kind == LINK_AGENT)
+		dispatch_agent_down(d, l->agent);
+	else if (l->kind == LINK_PEER_OUT)
+		peer_down(d, l->peer);
+	(void)g_hash_table_remove(d->links, GUINT_TO_POINTER(link));
+}
+
+/*
+ * A peer introduces itself.  The accepted side answers in kind, so that the
+ * other learns its name.
+ */
+static void
+on_peer_hello(
+    struct mlk_dispatcher *d, struct link *l, const struct mlk_msg *msg)
+{
+	const struct mlk_peer_info *info = &msg->u.peer_hello.self;
+	struct peer *p;
+
+	if (l->kind == LINK_NEW) {
+		l->kind = LINK_PEER_IN;
+		send_hello(d, l->link);
+	}
+	p = l->kind == LINK_PEER_OUT ?
+	    l->peer :
+	    dispatch_peer_learn(d, info->addr, false);
+	if (p == NULL)
+		return;
+	if (p->info.incarnation == info->incarnation)
+		return;
+	p->info = *info;
+	p->retry_at = d->now;
+	tell_agents_of_peers(d);
+}
+
+/*
+ * Puts a routing table in force, unless a newer one is.  Versions never fall.
+ */
+void
+dispatch_routes(struct mlk_dispatcher *d, const struct mlk_routing *routing)
+{
+	struct mlk_routing copy;
+
+	if (routing->version <= d->routing.version)
+		return;
+	if (mlk_routing_copy(&copy, routing) != 0)
+		g_error("out of memory");
+	mlk_routing_clear(&d->routing);
+	d->routing = copy;
+	d->counters.routings++;
+	dispatch_log(d, MLK_LOG_NOTICE, NULL, NULL,
+	    "routing table %" PRIu64 " in force, %u routes", d->routing.version,
+	    d->routing.nroutes);
+}
+
+/*
+ * Answers a lower version with the table in force.
+ */
+static void
+offer_routes(struct mlk_dispatcher *d, uint32_t link, uint64_t version)
+{
+	struct mlk_msg *msg;
+
+	if (version >= d->routing.version)
+		return;
+	msg = dispatch_send(d, link, MLK_MSG_ROUTES);
+	if (mlk_routing_copy(&msg->u.routes, &d->routing) != 0)
+		g_error("out of memory");
+}
+
+static void
+agent_msg(struct mlk_dispatcher *d, struct agent *a, const struct mlk_msg *msg)
+{
+	if (msg->type == MLK_MSG_WORKER)
+		dispatch_worker(d, a, msg);
+	else if (msg->type == MLK_MSG_ENDS)
+		dispatch_ends(d, a, msg);
+	else
+		dispatch_log(d, MLK_LOG_WARNING, NULL, a->id, "unexpected %s",
+		    mlk_msg_name(msg->type));
+}
+
+void
+dispatch_msg(struct mlk_dispatcher *d, uint32_t link, const struct mlk_msg *msg)
+{
+	struct link *l;
+
+	l = g_hash_table_lookup(d->links, GUINT_TO_POINTER(link));
+	if (l == NULL)
+		return;
+	if (l->kind == LINK_PEER_OUT)
+		l->peer->heard = d->now;
+	if (l->kind == LINK_AGENT) {
+		agent_msg(d, l->agent, msg);
+		return;
+	}
+	switch (msg->type) {
+	case MLK_MSG_ATTACH:
+		if (l->kind == LINK_NEW)
+			dispatch_attach(d, l, msg);
+		break;
+	case MLK_MSG_PEER_HELLO:
+		on_peer_hello(d, l, msg);
+		break;
+	case MLK_MSG_PING:
+		offer_routes(d, link, msg->u.ping.routing_version);
+		if (l->kind == LINK_PEER_IN) {
+			struct mlk_msg *pong;
+
+			pong = dispatch_send(d, link, MLK_MSG_PING);
+			pong->u.ping.sent_at = dispatch_now_ms(d);
+			pong->u.ping.routing_version = d->routing.version;
+		}
+		break;
+	case MLK_MSG_ROUTES:
+		dispatch_routes(d, &msg->u.routes);
+		break;
+	default:
+		dispatch_log(d, MLK_LOG_WARNING, NULL, NULL,
+		    "unexpected %s on a link", mlk_msg_name(msg->type));
+		break;
+	}
+}
+
+static void
+try_connect(struct mlk_dispatcher *d, struct peer *p)
+{
+	struct mlk_dispatch_effect *fx;
+
+	fx = mlk_dispatch_push(d->out, MLK_DISPATCH_FX_CONNECT);
+	if (fx == NULL)
+		return;
+	p->connect = ++d->last_connect;
+	fx->u.connect.connect = p->connect;
+	(void)g_strlcpy(
+	    fx->u.connect.addr, p->addr, sizeof(fx->u.connect.addr));
+}
+
+/*
+ * Returns true when the peer is to be forgotten.
+ */
+static bool
+peer_due(struct mlk_dispatcher *d, struct peer *p)
+{
+	struct mlk_msg *msg;
+
+	if (p->link == 0) {
+		if (p->connect == 0 && d->now >= p->retry_at && !d->stopping)
+			try_connect(d, p);
+		return (!p->configured && p->connect == 0 &&
+		    d->now - p->reached_at >= PEER_FORGET_NS);
+	}
+	if (d->now >= d->paused_until && d->now - p->heard >= PEER_SILENT_NS) {
+		dispatch_close(d, p->link);
+		peer_down(d, p);
+		return (false);
+	}
+	if (d->now - p->sent >= PEER_BEAT_NS) {
+		msg = dispatch_send(d, p->link, MLK_MSG_PING);
+		msg->u.ping.sent_at = dispatch_now_ms(d);
+		msg->u.ping.routing_version = d->routing.version;
+		p->sent = d->now;
+	}
+	return (false);
+}
+
+/*
+ * Links with peers: connecting, beats, silence.
+ */
+void
+dispatch_peers_due(struct mlk_dispatcher *d)
+{
+	struct peer *p;
+	guint i;
+
+	for (i = d->peers->len; i > 0; i--) {
+		p = g_ptr_array_index(d->peers, i - 1);
+		if (peer_due(d, p))
+			(void)g_ptr_array_remove_index_fast(d->peers, i - 1);
+	}
+}
--- /dev/null
+++ b/src/dispatch/dispatcher_priv.h
@@ -0,0 +1,225 @@
+/*
+ * State of the dispatcher, shared by the dispatcher_*.c files.
+ *
+ * A job lives at the entry that its caller reached, from the request to the
+ * answer.  Its tasks wait in the queue until a worker has room by this entry's
+ * copy of the worker's load, go to that worker's agent in a RUN message, and
+ * come back in ENDS; what is not done then waits again.
+ */
+#ifndef MLK_DISPATCH_DISPATCHER_PRIV_H
+#define MLK_DISPATCH_DISPATCHER_PRIV_H
+
+#include <inttypes.h>
+
+#include <glib.h>
+
+#include <monsoonlock/dispatch.h>
+
+#include "effects.h"
+#include "skew.h"
+
+#define MS ((int64_t)MLK_NSEC_PER_MSEC)
+
+#define LINKS_MAX 4096
+#define REQUESTS_MAX 4 /* that wait for the same job */
+#define AVOID_MAX 4 /* agents at which a job's tasks failed or stood still */
+#define AGENT_BEAT_BUSY_NS (250 * MS) /* of PING, while tasks are there */
+#define AGENT_BEAT_IDLE_NS (1000 * MS)
+#define AGENT_SILENT_BUSY_NS (700 * MS) /* then its link is closed */
+#define AGENT_SILENT_IDLE_NS (3000 * MS)
+/*
+ * From the end of a link until every run that was started over it is over:
+ * the lease of an entry at an agent, 900 ms, and the stop; or the lease of an
+ * agent's runs at a worker, 1,020 ms.  With a margin for messages under way.
+ */
+#define DETACHED_NS (1120 * MS)
+#define PEER_BEAT_NS (500 * MS)
+#define PEER_SILENT_NS (2500 * MS)
+#define CONNECT_RETRY_NS (500 * MS)
+#define CONNECT_RETRY_MAX_NS (4000 * MS)
+#define PEER_FORGET_NS (60000 * MS)
+/* An event that comes so long after the one before tells of a pause. */
+#define PAUSE_NS (250 * MS)
+#define PAUSE_GRACE_NS (150 * MS) /* to read what arrived meanwhile */
+#define RETRY_AFTER_MS 1000
+/*
+ * After a stop began, the balancer's checks, one a second of which two must
+ * fail, still send new connections for so long.
+ */
+#define BALANCER_NS (2500 * MS)
+
+enum link_kind {
+	LINK_NEW, /* nothing has arrived yet */
+	LINK_AGENT,
+	LINK_PEER_IN, /* accepted from a peer */
+	LINK_PEER_OUT, /* connected to a peer */
+};
+
+struct link {
+	uint32_t link;
+	enum link_kind kind;
+	struct agent *agent;
+	struct peer *peer;
+};
+
+struct peer {
+	char addr[MLK_ADDR_MAX];
+	bool configured;
+	struct mlk_peer_info info; /* id empty until known */
+	uint32_t connect;
+	uint32_t link; /* outgoing; 0: none */
+	int64_t retry_at;
+	int64_t retry_ns;
+	int64_t reached_at;
+	int64_t heard;
+	int64_t sent;
+};
+
+/* A RUN message that the agent's load does not show yet. */
+struct unseen {
+	uint64_t seq;
+	struct mlk_room room; /* of all its tasks */
+};
+
+struct agent {
+	char id[MLK_NAME_MAX];
+	uint64_t incarnation;
+	bool near; /* in this entry's data centre */
+	uint32_t link; /* 0: none */
+	bool known; /* a WORKER has arrived on this link */
+	struct mlk_worker_info info;
+	struct mlk_worker_load load; /* as of the last message */
+	GArray *unseen; /* struct unseen, oldest first */
+	uint64_t seq; /* of the last RUN on this link */
+	int64_t heard;
+	int64_t sent;
+	struct mlk_skew skew;
+	GPtrArray *tasks; /* in flight here, or detached */
+	uint32_t waiting; /* of them, sent to wait for room */
+	int64_t detached_until; /* its tasks are over then; 0: attached */
+};
+
+enum task_state {
+	TASK_BLOCKED, /* steps before its own are not done */
+	TASK_QUEUED,
+	TASK_SENT, /* -> QUEUED, DETACHED, or DONE */
+	TASK_DETACHED, /* its link is closed; -> QUEUED when it is over */
+	TASK_DONE,
+};
+
+struct task {
+	struct job *job;
+	uint32_t step;
+	uint32_t index;
+	enum task_state state;
+	struct agent *agent; /* SENT, DETACHED */
+	bool waits; /* SENT to wait for room */
+	uint32_t failures;
+	uint32_t sends;
+};
+
+struct job {
+	uint64_t handle;
+	char id[MLK_ID_MAX];
+	char request_id[MLK_NAME_MAX];
+	uint64_t requests[REQUESTS_MAX];
+	uint32_t nrequests;
+	char pool[MLK_NAME_MAX];
+	uint32_t priority;
+	uint32_t attempts;
+	int64_t arrived;
+	int64_t deadline;
+	GBytes *spec;
+	uint32_t nsteps;
+	struct mlk_step *steps;
+	uint32_t *left; /* tasks not done, by step */
+	uint32_t ntasks;
+	struct task *tasks;
+	uint32_t nleft; /* tasks not done */
+	uint32_t nqueued;
+	uint32_t nsent; /* SENT or DETACHED */
+	bool ran; /* a run of it has been at work */
+	struct agent *avoid[AVOID_MAX];
+	uint32_t navoid;
+	GSequenceIter *place; /* in the queue; NULL: nothing is queued */
+};
+
+struct mlk_dispatcher {
+	struct mlk_dispatcher_options options;
+	struct mlk_dispatch_counters counters;
+	struct mlk_rng rng;
+	int64_t now;
+	int64_t paused_until; /* silence is not judged before */
+	int64_t pause; /* length of the last pause; 0 once it is past */
+	struct mlk_routing routing;
+	GHashTable *links; /* link -> struct link */
+	GPtrArray *peers; /* struct peer */
+	GPtrArray *agents; /* struct agent */
+	uint32_t last_connect;
+	GHashTable *jobs; /* handle -> struct job */
+	GHashTable *by_id; /* id -> struct job */
+	GHashTable *by_request; /* request -> struct job */
+	uint64_t last_job;
+	GSequence *queue; /* struct job with queued tasks, most urgent first */
+	uint32_t nqueued; /* tasks */
+	uint32_t nsent;
+	bool place; /* room or queue has changed */
+	bool stopping;
+	int64_t stop_since;
+	bool exited;
+	struct mlk_dispatch_effects *out;
+};
+
+/* dispatcher.c */
+void dispatch_log(struct mlk_dispatcher *d, enum mlk_log_level level,
+    const struct job *job, const char *worker, const char *fmt, ...)
+    __attribute__((format(printf, 5, 6)));
+
+/* dispatcher_jobs.c */
+void dispatch_submit(
+    struct mlk_dispatcher *d, const struct mlk_dispatch_event *ev);
+void dispatch_gone(struct mlk_dispatcher *d, uint64_t request);
+void dispatch_task_ended(
+    struct mlk_dispatcher *d, struct task *task, enum mlk_run_end end);
+void dispatch_task_detach(struct mlk_dispatcher *d, struct task *task);
+void dispatch_jobs_due(struct mlk_dispatcher *d);
+void dispatch_jobs_end(struct mlk_dispatcher *d);
+void dispatch_job_free(gpointer data);
+
+/* dispatcher_place.c */
+void dispatch_enqueue(struct mlk_dispatcher *d, struct task *task);
+void dispatch_dequeue(struct mlk_dispatcher *d, struct task *task);
+void dispatch_place(struct mlk_dispatcher *d);
+bool dispatch_pool_ready(const struct mlk_dispatcher *d, const char *pool);
+
+/* dispatcher_agents.c */
+void dispatch_attach(
+    struct mlk_dispatcher *d, struct link *link, const struct mlk_msg *msg);
+void dispatch_worker(
+    struct mlk_dispatcher *d, struct agent *a, const struct mlk_msg *msg);
+void dispatch_ends(
+    struct mlk_dispatcher *d, struct agent *a, const struct mlk_msg *msg);
+void dispatch_agent_down(struct mlk_dispatcher *d, struct agent *a);
+void dispatch_agents_due(struct mlk_dispatcher *d);
+struct mlk_room dispatch_agent_free(const struct agent *a);
+void dispatch_agent_free_record(gpointer data);
+
+/* dispatcher_links.c */
+struct mlk_msg *dispatch_send(
+    struct mlk_dispatcher *d, uint32_t link, enum mlk_msg_type type);
+uint64_t dispatch_now_ms(const struct mlk_dispatcher *d);
+void dispatch_close(struct mlk_dispatcher *d, uint32_t link);
+struct peer *dispatch_peer_learn(
+    struct mlk_dispatcher *d, const char *addr, bool configured);
+void dispatch_link_up(
+    struct mlk_dispatcher *d, uint32_t link, uint32_t connect);
+void dispatch_link_down(
+    struct mlk_dispatcher *d, uint32_t link, uint32_t connect);
+void dispatch_msg(
+    struct mlk_dispatcher *d, uint32_t link, const struct mlk_msg *msg);
+void dispatch_send_peers(struct mlk_dispatcher *d, uint32_t link);
+void dispatch_routes(
+    struct mlk_dispatcher *d, const struct mlk_routing *routing);
+void dispatch_peers_due(struct mlk_dispatcher *d);
+
+#endif
--- /dev/null
+++ b/src/dispatch/runner.c
@@ -0,0 +1,268 @@
+/*
+ * The runner of an agent: turns the RUN messages of entries into orders to
+ * the worker, and the worker's listings into ends.
+ *
+ * Every event ends with the same pass: what is due by time, starts that fit,
+ * the next listing, and the messages to entries.
+ */
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "runner_priv.h"
+
+#define DEFAULT_LEASE_MS 1000
+#define DEFAULT_ENTRY_LEASE_MS 900
+#define DEFAULT_GRACE_MS 5000
+#define EXIT_MARGIN_NS (400 * MS) /* of the grace, for the last messages */
+
+void
+mlk_runner_options_default(struct mlk_runner_options *options)
+{
+	memset(options, 0, sizeof(*options));
+	options->lease_ms = DEFAULT_LEASE_MS;
+	options->entry_lease_ms = DEFAULT_ENTRY_LEASE_MS;
+	options->grace_ms = DEFAULT_GRACE_MS;
+}
+
+static guint
+name_hash(gconstpointer key)
+{
+	const struct mlk_run_name *name = key;
+
+	return (g_str_hash(name->id) ^ (name->step << 16) ^ name->index);
+}
+
+/* The number of the start does not count: a task has one entry. */
+static gboolean
+name_equal(gconstpointer a, gconstpointer b)
+{
+	const struct mlk_run_name *x = a, *y = b;
+
+	return (x->index == y->index && x->step == y->step &&
+	    strcmp(x->id, y->id) == 0);
+}
+
+/*
+ * Returns a runner, whose options are copied.
+ */
+struct mlk_runner *
+mlk_runner_create(const struct mlk_runner_options *options)
+{
+	struct mlk_runner *r;
+	uint32_t i;
+
+	r = g_new0(struct mlk_runner, 1);
+	r->options = *options;
+	r->options.entries = NULL;
+	r->state = MLK_WORKER_AWAY;
+	r->entries = g_ptr_array_new_with_free_func(runner_entry_free);
+	r->runs = g_ptr_array_new();
+	r->by_name = g_hash_table_new(name_hash, name_equal);
+	r->orders =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+	for (i = 0; i < options->nentries; i++)
+		(void)runner_entry_learn(r, options->entries[i], true);
+	return (r);
+}
+
+void
+mlk_runner_destroy(struct mlk_runner *r)
+{
+	struct run *run;
+	guint i;
+
+	if (r == NULL)
+		return;
+	for (i = 0; i < r->runs->len; i++) {
+		run = g_ptr_array_index(r->runs, i);
+		g_bytes_unref(run->spec);
+		g_free(run);
+	}
+	g_hash_table_destroy(r->orders);
+	g_hash_table_destroy(r->by_name);
+	g_ptr_array_free(r->runs, TRUE);
+	g_ptr_array_free(r->entries, TRUE);
+	g_free(r);
+}
+
+/*
+ * Logs a decision; run may be NULL.
+ */
+void
+runner_log(struct mlk_runner *r, enum mlk_log_level level,
+    const struct run *run, const char *fmt, ...)
+{
+	struct mlk_runner_effect *fx;
+	va_list ap;
+
+	fx = mlk_runner_push(r->out, MLK_RUNNER_FX_LOG);
+	if (fx == NULL)
+		return;
+	fx->u.log.level = level;
+	(void)g_strlcpy(
+	    fx->u.log.worker, r->worker.info.id, sizeof(fx->u.log.worker));
+	if (run != NULL)
+		(void)g_strlcpy(
+		    fx->u.log.job, run->name.id, sizeof(fx->u.log.job));
+	va_start(ap, fmt);
+	(void)vsnprintf(fx->u.log.text, sizeof(fx->u.log.text), fmt, ap);
+	va_end(ap);
+}
+
+/*
+ * Returns what the worker has left beside the runs that hold room.
+ */
+struct mlk_room
+runner_free(const struct mlk_runner *r)
+{
+	struct mlk_room free = r->worker.info.capacity;
+
+	mlk_room_take(&free, &r->reserved);
+	return (free);
+}
+
+/*
+ * Returns the state of the worker that entries go by.
+ */
+enum mlk_worker_state
+runner_state(const struct mlk_runner *r)
+{
+	const struct worker *w = &r->worker;
+
+	if (!w->known || w->left_at != 0 || !r->clean || !w->cleared ||
+	    w->boot != w->info.boot || w->refused > 0 || runner_away(r))
+		return (MLK_WORKER_AWAY);
+	if (r->stopping || w->info.state != MLK_WORKER_READY)
+		return (MLK_WORKER_DRAINING);
+	return (MLK_WORKER_READY);
+}
+
+/*
+ * Begins the planned stop: nothing new is started; what runs may end.
+ */
+static void
+begin_stop(struct mlk_runner *r)
+{
+	if (r->stopping)
+		return;
+	r->stopping = true;
+	r->stop_at = r->now + (int64_t)r->options.grace_ms * MS;
+	runner_log(r, MLK_LOG_NOTICE, NULL,
+	    "planned stop: %u runs at work, %u wait", r->nactive, r->nwaiting);
+}
+
+/*
+ * Ends the planned stop once nothing runs, or when its time is nearly over.
+ */
+static void
+stop_due(struct mlk_runner *r)
+{
+	struct run *run;
+	guint i;
+
+	if (!r->stopping || r->exited)
+		return;
+	if (r->now >= r->stop_at - EXIT_MARGIN_NS) {
+		for (i = 0; i < r->runs->len; i++) {
+			run = g_ptr_array_index(r->runs, i);
+			runner_run_stop(r, run, MLK_RUN_STOPPED);
+		}
+	}
+	if ((r->runs->len == 0 && r->worker.ack_sent >= r->worker.acked) ||
+	    r->now >= r->stop_at) {
+		r->exited = true;
+		(void)mlk_runner_push(r->out, MLK_RUNNER_FX_EXIT);
+	}
+}
+
+static void
+take_event(struct mlk_runner *r, const struct mlk_runner_event *ev)
+{
+	uint32_t i;
+
+	switch (ev->type) {
+	case MLK_RUNNER_LINK_UP:
+		runner_link_up(r, ev->u.link.link, ev->u.link.connect);
+		break;
+	case MLK_RUNNER_LINK_DOWN:
+		runner_link_down(r, ev->u.link.link, ev->u.link.connect);
+		break;
+	case MLK_RUNNER_MSG:
+		runner_msg(r, ev->u.msg.link, ev->u.msg.msg);
+		break;
+	case MLK_RUNNER_ENTRIES:
+		for (i = 0; i < ev->u.entries.n; i++)
+			(void)runner_entry_learn(
+			    r, ev->u.entries.addrs[i], false);
+		break;
+	case MLK_RUNNER_ANNOUNCED:
+		runner_announced(r, ev->u.announced);
+		break;
+	case MLK_RUNNER_LEFT:
+		runner_left(r, ev->u.left.worker);
+		break;
+	case MLK_RUNNER_ORDER:
+		runner_order_ended(r, ev);
+		break;
+	case MLK_RUNNER_STOP:
+		begin_stop(r);
+		break;
+	case MLK_RUNNER_TICK:
+		break;
+	}
+}
+
+/*
+ * Applies one event and appends its effects.  Returns 0, or
+ * MLK_ERR_INVALID after EXIT.
+ */
+int
+mlk_runner_apply(struct mlk_runner *r, const struct mlk_runner_event *ev,
+    struct mlk_runner_effects *out, struct mlk_error *err)
+{
+	if (r->exited)
+		return (mlk_error_set(
+		    err, MLK_ERR_INVALID, "the runner has stopped"));
+	r->out = out;
+	r->now = ev->now;
+	if (r->created == 0)
+		r->created = ev->now;
+	take_event(r, ev);
+	runner_worker_due(r);
+	runner_links_due(r);
+	runner_runs_start(r);
+	runner_runs_due(r);
+	runner_list_due(r);
+	stop_due(r);
+	runner_links_flush(r);
+	r->out = NULL;
+	return (0);
+}
+
+const struct mlk_runner_counters *
+mlk_runner_counters(const struct mlk_runner *r)
+{
+	return (&r->counters);
+}
+
+void
+mlk_runner_gauges(const struct mlk_runner *r, struct mlk_runner_gauges *out)
+{
+	const struct entry *e;
+	guint i;
+
+	memset(out, 0, sizeof(*out));
+	for (i = 0; i < r->entries->len; i++) {
+		e = g_ptr_array_index(r->entries, i);
+		if (e->attached)
+			out->entries++;
+	}
+	out->ready = r->state == MLK_WORKER_READY && out->entries > 0;
+	out->running = r->nactive;
+	out->waiting = r->nwaiting;
+	out->capacity = r->worker.info.capacity;
+	out->free = runner_free(r);
+	out->fence = r->worker.fence;
+}
--- /dev/null
+++ b/src/dispatch/runner_links.c
@@ -0,0 +1,444 @@
+/*
+ * Links with entries: connecting, attaching, RUN and DROP, the lease of a
+ * silent entry, and the messages back.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "runner_priv.h"
+
+void
+runner_entry_free(gpointer data)
+{
+	struct entry *e = data;
+
+	(void)g_array_free(e->ends, TRUE);
+	g_free(e);
+}
+
+static uint64_t
+now_ms(const struct mlk_runner *r)
+{
+	return ((uint64_t)(r->now / MS));
+}
+
+/*
+ * Adds the address of an entry, unless it is known or the table is full.
+ * Returns the entry, or NULL.
+ */
+struct entry *
+runner_entry_learn(struct mlk_runner *r, const char *addr, bool configured)
+{
+	struct entry *e;
+	guint i;
+
+	for (i = 0; i < r->entries->len; i++) {
+		e = g_ptr_array_index(r->entries, i);
+		if (strcmp(e->addr, addr) == 0) {
+			e->configured = e->configured || configured;
+			return (e);
+		}
+	}
+	if (r->entries->len >= RUNNER_ENTRIES_MAX)
+		return (NULL);
+	e = g_new0(struct entry, 1);
+	(void)g_strlcpy(e->addr, addr, sizeof(e->addr));
+	e->configured = configured;
+	e->retry_ns = CONNECT_RETRY_NS;
+	e->reached_at = r->now;
+	e->ends = g_array_new(FALSE, FALSE, sizeof(struct mlk_run_result));
+	g_ptr_array_add(r->entries, e);
+	return (e);
+}
+
+static struct entry *
+entry_of_link(struct mlk_runner *r, uint32_t link)
+{
+	struct entry *e;
+	guint i;
+
+	for (i = 0; link != 0 && i < r->entries->len; i++) {
+		e = g_ptr_array_index(r->entries, i);
+		if (e->link == link)
+			return (e);
+	}
+	return (NULL);
+}
+
+static struct mlk_msg *
+send_msg(struct mlk_runner *r, struct entry *e, enum mlk_msg_type type)
+{
+	struct mlk_runner_effect *fx;
+
+	fx = mlk_runner_push(r->out, MLK_RUNNER_FX_SEND);
+	if (fx == NULL)
+		g_error("out of memory");
+	fx->u.send.link = e->link;
+	fx->u.send.msg.type = type;
+	e->sent = r->now;
+	return (&fx->u.send.msg);
+}
+
+/*
+ * Sees to it that nothing of an entry is left at the worker.
+ */
+static void
+stop_runs_of(struct mlk_runner *r, struct entry *e)
+{
+	struct run *run;
+	guint i;
+
+	for (i = r->runs->len; i > 0; i--) {
+		run = g_ptr_array_index(r->runs, i - 1);
+		if (run->entry == e)
+			runner_run_stop(r, run, MLK_RUN_STOPPED);
+	}
+}
+
+/*
+ * The link of an entry is over: its runs are stopped, and their ends are told
+ * to nobody.
+ */
+static void
+detach(struct mlk_runner *r, struct entry *e)
+{
+	e->link = 0;
+	e->attached = false;
+	e->report = false;
+	(void)g_array_set_size(e->ends, 0);
+	e->reached_at = r->now;
+	e->retry_at = r->now + CONNECT_RETRY_NS;
+	e->retry_ns = CONNECT_RETRY_NS;
+	if (e->nruns > 0)
+		runner_log(r, MLK_LOG_NOTICE, NULL,
+		    "link with entry %s ended, %u runs are stopped", e->addr,
+		    e->nruns);
+	stop_runs_of(r, e);
+}
+
+static void
+close_link(struct mlk_runner *r, struct entry *e)
+{
+	struct mlk_runner_effect *fx;
+
+	fx = mlk_runner_push(r->out, MLK_RUNNER_FX_CLOSE);
+	if (fx != NULL)
+		fx->u.close.link = e->link;
+	detach(r, e);
+}
+
+void
+runner_link_up(struct mlk_runner *r, uint32_t link, uint32_t connect)
+{
+	struct entry *e;
+	guint i;
+
+	for (i = 0; i < r->entries->len; i++) {
+		e = g_ptr_array_index(r->entries, i);
+		if (e->connect == 0 || e->connect != connect)
+			continue;
+		e->connect = 0;
+		e->link = link;
+		e->seen = 0;
+		e->heard = r->now;
+		e->retry_ns = CONNECT_RETRY_NS;
+		e->reached_at = r->now;
+		mlk_skew_reset(&e->skew);
+		return;
+	}
+}
+
+void
+runner_link_down(struct mlk_runner *r, uint32_t link, uint32_t connect)
+{
+	struct entry *e;
+	guint i;
+
+	e = entry_of_link(r, link);
+	if (e != NULL) {
+		detach(r, e);
+		return;
+	}
+	for (i = 0; i < r->entries->len; i++) {
+		e = g_ptr_array_index(r->entries, i);
+		if (e->connect == 0 || e->connect != connect)
+			continue;
+		e->connect = 0;
+		e->retry_at = r->now + e->retry_ns;
+		e->retry_ns = MIN(e->retry_ns * 2, CONNECT_RETRY_MAX_NS);
+		return;
+	}
+}
+
+/*
+ * Takes note of when a message was sent.  Returns its age in ms.
+ */
+static int64_t
+note_sent_at(struct mlk_runner *r, struct entry *e, uint64_t sent_at)
+{
+	int64_t age, heard;
+
+	age = mlk_skew_age(&e->skew, (int64_t)now_ms(r), sent_at);
+	heard = r->now - age * MS;
+	e->heard = MAX(e->heard, heard);
+	return (age);
+}
+
+static void
+on_run(struct mlk_runner *r, struct entry *e, const struct mlk_msg *msg)
+{
+	struct mlk_run_result result = { 0 };
+	GBytes *spec;
+	int64_t age;
+	uint32_t i;
+
+	age = note_sent_at(r, e, msg->u.run.sent_at);
+	e->seen = msg->u.run.seq;
+	if (r->state == MLK_WORKER_READY && age <= STALE_RUN_MS) {
+		spec = g_bytes_new(msg->u.run.spec.data, msg->u.run.spec.len);
+		for (i = 0; i < msg->u.run.n; i++)
+			runner_run_add(r, e, msg, &msg->u.run.tasks[i], spec);
+		g_bytes_unref(spec);
+		return;
+	}
+	runner_log(r, MLK_LOG_INFO, NULL,
+	    "job %s: %u tasks refused, state %d, message %" PRId64 " ms old",
+	    msg->u.run.id, msg->u.run.n, (int)r->state, age);
+	for (i = 0; i < msg->u.run.n; i++) {
+		result.job = msg->u.run.job;
+		result.step = msg->u.run.step;
+		result.index = msg->u.run.tasks[i].index;
+		result.end = MLK_RUN_REFUSED;
+		r->counters.refused++;
+		(void)g_array_append_val(e->ends, result);
+	}
+}
+
+static void
+on_drop(struct mlk_runner *r, struct entry *e, const struct mlk_msg *msg)
+{
+	struct run *run;
+	guint i;
+
+	(void)note_sent_at(r, e, msg->u.drop.sent_at);
+	for (i = r->runs->len; i > 0; i--) {
+		run = g_ptr_array_index(r->runs, i - 1);
+		if (run->entry == e && run->job == msg->u.drop.job)
+			runner_run_stop(r, run, MLK_RUN_STOPPED);
+	}
+}
+
+static void
+on_peers(struct mlk_runner *r, const struct mlk_msg *msg)
+{
+	uint32_t i;
+
+	for (i = 0; i < msg->u.peers.n; i++)
+		(void)runner_entry_learn(r, msg->u.peers.peers[i].addr, false);
+}
+
+void
+runner_msg(struct mlk_runner *r, uint32_t link, const struct mlk_msg *msg)
+{
+	struct entry *e;
+
+	e = entry_of_link(r, link);
+	if (e == NULL || !e->attached)
+		return;
+	switch (msg->type) {
+	case MLK_MSG_WELCOME:
+		e->info = msg->u.welcome.self;
+		break;
+	case MLK_MSG_RUN:
+		on_run(r, e, msg);
+		break;
+	case MLK_MSG_DROP:
+		on_drop(r, e, msg);
+		break;
+	case MLK_MSG_PING:
+		(void)note_sent_at(r, e, msg->u.ping.sent_at);
+		break;
+	case MLK_MSG_PEERS:
+		on_peers(r, msg);
+		break;
+	default:
+		runner_log(r, MLK_LOG_WARNING, NULL,
+		    "unexpected %s from entry %s", mlk_msg_name(msg->type),
+		    e->addr);
+		break;
+	}
+}
+
+/*
+ * Attaches to an entry once nothing that it started on an earlier link is
+ * left: ATTACH says so.
+ */
+static void
+attach(struct mlk_runner *r, struct entry *e)
+{
+	struct mlk_msg *msg;
+
+	msg = send_msg(r, e, MLK_MSG_ATTACH);
+	(void)g_strlcpy(
+	    msg->u.attach.id, r->options.id, sizeof(msg->u.attach.id));
+	(void)g_strlcpy(
+	    msg->u.attach.dc, r->options.dc, sizeof(msg->u.attach.dc));
+	msg->u.attach.incarnation = r->options.incarnation;
+	e->attached = true;
+	e->report = true;
+	e->heard = r->now;
+}
+
+static void
+try_connect(struct mlk_runner *r, struct entry *e)
+{
+	struct mlk_runner_effect *fx;
+
+	fx = mlk_runner_push(r->out, MLK_RUNNER_FX_CONNECT);
+	if (fx == NULL)
+		return;
+	e->connect = ++r->last_connect;
+	fx->u.connect.connect = e->connect;
+	(void)g_strlcpy(
+	    fx->u.connect.addr, e->addr, sizeof(fx->u.connect.addr));
+}
+
+/*
+ * Returns true when the entry is to be forgotten.
+ */
+static bool
+entry_due(struct mlk_runner *r, struct entry *e)
+{
+	int64_t lease = (int64_t)r->options.entry_lease_ms * MS;
+
+	if (e->link == 0) {
+		if (e->connect == 0 && r->now >= e->retry_at && !r->stopping)
+			try_connect(r, e);
+		return (!e->configured && e->nruns == 0 && e->connect == 0 &&
+		    r->now - e->reached_at >= ENTRY_FORGET_NS);
+	}
+	if (!e->attached) {
+		if (e->nruns == 0 && r->clean)
+			attach(r, e);
+		return (false);
+	}
+	if (e->nruns > 0 && r->now - e->heard >= lease) {
+		r->counters.entry_leases++;
+		runner_log(r, MLK_LOG_NOTICE, NULL,
+		    "entry %s silent for %" PRId64 " ms", e->addr,
+		    (r->now - e->heard) / MS);
+		close_link(r, e);
+	} else if (r->now - e->heard >= LINK_SILENT_NS) {
+		close_link(r, e);
+	}
+	return (false);
+}
+
+/*
+ * Connects, attaches, and lets leases of silent entries run out.
+ */
+void
+runner_links_due(struct mlk_runner *r)
+{
+	struct entry *e;
+	guint i;
+
+	for (i = r->entries->len; i > 0; i--) {
+		e = g_ptr_array_index(r->entries, i - 1);
+		if (entry_due(r, e))
+			(void)g_ptr_array_remove_index_fast(r->entries, i - 1);
+	}
+}
+
+static void
+fill_load(const struct mlk_runner *r, struct mlk_worker_load *load)
+{
+	const struct run *run;
+	guint i;
+
+	load->free = runner_free(r);
+	load->running = r->nactive;
+	load->waiting = r->nwaiting;
+	for (i = 0; r->nwaiting > 0 && i < r->runs->len; i++) {
+		run = g_ptr_array_index(r->runs, i);
+		if (run->state == RUN_WAITING)
+			mlk_room_take(&load->free, &run->room);
+	}
+}
+
+static void
+send_ends(
+    struct mlk_runner *r, struct entry *e, const struct mlk_worker_load *load)
+{
+	struct mlk_msg *msg;
+	size_t size;
+
+	msg = send_msg(r, e, MLK_MSG_ENDS);
+	msg->u.ends.sent_at = now_ms(r);
+	msg->u.ends.seen = e->seen;
+	msg->u.ends.load = *load;
+	size = e->ends->len * sizeof(struct mlk_run_result);
+	msg->u.ends.items = malloc(size);
+	if (msg->u.ends.items == NULL)
+		g_error("out of memory");
+	memcpy(msg->u.ends.items, e->ends->data, size);
+	msg->u.ends.n = e->ends->len;
+	(void)g_array_set_size(e->ends, 0);
+	e->reported = *load;
+}
+
+static void
+send_worker(
+    struct mlk_runner *r, struct entry *e, const struct mlk_worker_load *load)
+{
+	struct mlk_msg *msg;
+
+	msg = send_msg(r, e, MLK_MSG_WORKER);
+	msg->u.worker.sent_at = now_ms(r);
+	msg->u.worker.seen = e->seen;
+	msg->u.worker.info = r->worker.info;
+	msg->u.worker.info.state = r->state;
+	msg->u.worker.load = *load;
+	e->report = false;
+	e->reported = *load;
+}
+
+/*
+ * Tells whether a WORKER is due: at once after a change of state, often while
+ * the entry has runs here or its view of the room is out of date.
+ */
+static bool
+report_due(const struct mlk_runner *r, const struct entry *e,
+    const struct mlk_worker_load *load)
+{
+	bool busy;
+
+	busy = e->nruns > 0 || memcmp(load, &e->reported, sizeof(*load)) != 0;
+	return (e->report ||
+	    r->now - e->sent >= (busy ? BEAT_BUSY_NS : BEAT_IDLE_NS));
+}
+
+/*
+ * Sends what the event has left to be sent, in one message an entry.
+ */
+void
+runner_links_flush(struct mlk_runner *r)
+{
+	struct mlk_worker_load load = { 0 };
+	bool filled = false;
+	struct entry *e;
+	guint i;
+
+	for (i = 0; i < r->entries->len; i++) {
+		e = g_ptr_array_index(r->entries, i);
+		if (!e->attached)
+			continue;
+		if (!filled)
+			fill_load(r, &load);
+		filled = true;
+		if (e->ends->len > 0)
+			send_ends(r, e, &load);
+		if (report_due(r, e, &load))
+			send_worker(r, e, &load);
+	}
+}
--- /dev/null
+++ b/src/dispatch/runner_listing.c
@@ -0,0 +1,194 @@
+/*
+ * Listings: what the worker says is at work and what has ended there.  Ends,
+ * progress and the fate of unanswered starts are taken from them alone.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "runner_priv.h"
+
+/* Longest list of ends in one answer; there may be more behind it. */
+#define LISTED_ENDS_MAX 500
+
+static enum mlk_run_end
+end_of(const struct run *run, enum mlk_listed_how how)
+{
+	switch (how) {
+	case MLK_LISTED_DONE:
+		return (MLK_RUN_DONE);
+	case MLK_LISTED_FAILED:
+		return (MLK_RUN_FAILED);
+	case MLK_LISTED_STOPPED:
+		return (run->stop_wanted ? run->stop_end : MLK_RUN_STOPPED);
+	case MLK_LISTED_LAPSED:
+	case MLK_LISTED_OTHER:
+		break;
+	}
+	return (run->stop_wanted ? run->stop_end : MLK_RUN_LOST);
+}
+
+static void
+take_ends(struct mlk_runner *r, const struct mlk_runner_event *ev)
+{
+	const struct mlk_listed_end *end;
+	struct run *run;
+	uint32_t i;
+
+	for (i = 0; i < ev->u.order.nended; i++) {
+		end = &ev->u.order.ended[i];
+		if (end->number <= r->worker.acked)
+			continue;
+		r->worker.acked = end->number;
+		run = runner_run_find(r, &end->name);
+		if (run == NULL || run->state == RUN_WAITING ||
+		    run->name.run != end->name.run)
+			continue;
+		if (run->confirmed_at == 0)
+			run->confirmed_at = r->now;
+		runner_run_ended(r, run, end_of(run, end->how));
+	}
+}
+
+/*
+ * Takes note of the runs at work.  Returns whether one of them belongs to no
+ * run in the table; it is stopped.
+ */
+static bool
+take_running(struct mlk_runner *r, const struct mlk_runner_event *ev)
+{
+	const struct mlk_listed_run *listed;
+	struct run *run;
+	bool foreign = false;
+	uint32_t i;
+
+	r->list_number++;
+	for (i = 0; i < ev->u.order.nrunning; i++) {
+		listed = &ev->u.order.running[i];
+		run = runner_run_find(r, &listed->name);
+		if (run == NULL || run->state == RUN_WAITING ||
+		    run->name.run != listed->name.run) {
+			foreign = true;
+			runner_order_stop_foreign(r, &listed->name);
+			continue;
+		}
+		run->listed = r->list_number;
+		runner_run_confirmed(r, run);
+		if (listed->percent > run->percent) {
+			run->percent = listed->percent;
+			run->progress_at = r->now;
+		}
+	}
+	return (foreign);
+}
+
+/*
+ * A start without an answer that a listing under a later fence does not show
+ * has not taken effect and never will.
+ */
+static void
+settle_start(struct mlk_runner *r, struct run *run)
+{
+	r->counters.starts_void++;
+	if (run->stop_wanted || run->tries >= START_TRIES_MAX ||
+	    r->now >= run->deadline) {
+		runner_run_ended(r, run, MLK_RUN_REFUSED);
+		return;
+	}
+	run->name.run++;
+	runner_order_start(r, run);
+}
+
+/*
+ * What the listing does not show.  A run that was known to be at work before
+ * the listing was asked for is gone with an end that was not told.
+ */
+static void
+take_missing(struct mlk_runner *r, const struct order *order)
+{
+	struct run *run;
+	guint i;
+
+	for (i = r->runs->len; i > 0; i--) {
+		run = g_ptr_array_index(r->runs, i - 1);
+		if (run->listed == r->list_number)
+			continue;
+		if (run->state == RUN_DOUBT && run->fence < order->fence)
+			settle_start(r, run);
+		else if ((run->state == RUN_ACTIVE ||
+			     run->state == RUN_STOPPING) &&
+		    run->confirmed_at < order->sent_at)
+			runner_run_ended(r, run,
+			    run->stop_wanted ? run->stop_end : MLK_RUN_LOST);
+	}
+}
+
+/*
+ * Handles an answered listing.
+ */
+void
+runner_listed(struct mlk_runner *r, const struct mlk_runner_event *ev,
+    const struct order *order)
+{
+	struct worker *w = &r->worker;
+	bool foreign;
+
+	runner_boot(r, ev->u.order.boot);
+	w->ack_sent = MAX(w->ack_sent, MIN(w->acked, order->ack));
+	take_ends(r, ev);
+	/* One that was overtaken shows runs that have ended since. */
+	if (ev->u.order.clock_ms < w->listed_ms)
+		return;
+	w->listed_ms = ev->u.order.clock_ms;
+	foreign = take_running(r, ev);
+	if (ev->u.order.nended < LISTED_ENDS_MAX)
+		take_missing(r, order);
+	w->list_after = foreign ? r->now + LIST_RETRY_NS : r->now;
+	if (foreign)
+		w->cleared = false;
+	if (order->fence != w->fence)
+		return;
+	w->settle = false;
+	if (foreign)
+		return;
+	w->cleared = true;
+	if (!r->clean)
+		runner_log(r, MLK_LOG_NOTICE, NULL,
+		    "the worker runs nothing of an earlier agent");
+	r->clean = true;
+}
+
+/*
+ * Tells whether a plain listing is of use now.
+ */
+static bool
+list_wanted(const struct mlk_runner *r)
+{
+	const struct worker *w = &r->worker;
+
+	if (r->nactive > 0 || w->acked > w->ack_sent || !w->cleared)
+		return (r->now >= w->list_after);
+	return (r->now >= w->list_after + IDLE_LIST_NS);
+}
+
+/*
+ * Sends the listings that are due: one that settles the present fence, and
+ * one that waits for the next end.
+ */
+void
+runner_list_due(struct mlk_runner *r)
+{
+	struct worker *w = &r->worker;
+	bool away;
+
+	if (!w->known || w->left_at != 0)
+		return;
+	away = runner_away(r);
+	if (w->settle && w->settle_list == 0 && r->now >= w->list_after) {
+		runner_order_list(r, true, 0);
+		w->list_after = r->now + (away ? PROBE_NS : LIST_RETRY_NS);
+	}
+	if (w->settle || w->list != 0 || away || !list_wanted(r))
+		return;
+	runner_order_list(
+	    r, false, r->nactive > 0 && w->cleared ? LIST_WAIT_MS : 0);
+}
--- /dev/null
+++ b/src/dispatch/runner_worker.c
@@ -0,0 +1,224 @@
+/*
+ * What is known of the worker: its announcements, its boots, its clock, and
+ * whether it answers.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "runner_priv.h"
+
+/* A worker's steady clock runs at least at this many thousandths of ours. */
+#define CLOCK_RATE 980
+
+/*
+ * Takes note of the worker's clock.  The first reading gives the fence: it
+ * grows with the clock, so that a later agent starts above an earlier one.
+ */
+void
+runner_clock(struct mlk_runner *r, int64_t clock_ms)
+{
+	struct worker *w = &r->worker;
+
+	if (clock_ms <= 0)
+		return;
+	w->clock_ms = clock_ms;
+	w->clock_at = r->now;
+	if (w->fence == 0) {
+		w->fence = (uint64_t)clock_ms << FENCE_SHIFT;
+		w->settle = true;
+	}
+}
+
+/*
+ * Returns the end of a full lease that begins now, on the worker's clock, and
+ * notes by when it has run out for certain; 0 when the clock is unknown.
+ */
+int64_t
+runner_lease_until(struct mlk_runner *r)
+{
+	struct worker *w = &r->worker;
+	int64_t elapsed_ms, lease_ns, lapse_at;
+
+	if (w->clock_ms == 0)
+		return (0);
+	lease_ns = (int64_t)r->options.lease_ms * MS;
+	lapse_at = r->now + lease_ns + lease_ns * LEASE_SLACK_PERCENT / 100 +
+	    LEASE_SLACK_NS;
+	w->lapse_at = MAX(w->lapse_at, lapse_at);
+	elapsed_ms = (r->now - w->clock_at) / MS;
+	return (
+	    w->clock_ms + elapsed_ms * CLOCK_RATE / 1000 + r->options.lease_ms);
+}
+
+/*
+ * A listing or an announcement comes from this boot of the worker.  Another
+ * one than before runs nothing of what was started, has seen no fence, and
+ * counts its ends anew.
+ */
+void
+runner_boot(struct mlk_runner *r, uint64_t boot)
+{
+	struct worker *w = &r->worker;
+
+	if (boot == 0 || boot == w->boot)
+		return;
+	if (w->boot != 0)
+		runner_runs_lost(r, "the worker has started anew");
+	w->boot = boot;
+	w->acked = 0;
+	w->ack_sent = 0;
+	w->listed_ms = 0;
+	w->cleared = false;
+	w->settle = true;
+	r->counters.boots++;
+	runner_log(
+	    r, MLK_LOG_NOTICE, NULL, "boot %" PRIu64 " of the worker", boot);
+}
+
+/*
+ * Tells whether an announcement is newer than what is known.  One that was
+ * delayed may come from an earlier boot, or from another worker that had this
+ * address before.
+ */
+static bool
+is_newer(const struct worker *w, const struct mlk_announcement *a)
+{
+	if (!w->known || a->info.boot > w->info.boot)
+		return (true);
+	return (a->info.boot == w->info.boot && a->seq > w->seq &&
+	    strcmp(a->info.id, w->info.id) == 0);
+}
+
+void
+runner_announced(struct mlk_runner *r, const struct mlk_announcement *a)
+{
+	struct worker *w = &r->worker;
+	bool draining;
+
+	if (!is_newer(w, a)) {
+		runner_log(r, MLK_LOG_INFO, NULL,
+		    "announcement %" PRIu64 " of %s ignored: out of date",
+		    a->seq, a->info.id);
+		return;
+	}
+	draining = a->info.state == MLK_WORKER_DRAINING &&
+	    (!w->known || w->info.state != MLK_WORKER_DRAINING);
+	if (!w->known || w->info.boot != a->info.boot)
+		w->left_at = 0;
+	if (w->boot != a->info.boot) {
+		runner_boot(r, a->info.boot);
+		w->clock_ms = 0;
+		w->fence = 0;
+	}
+	w->known = true;
+	w->info = a->info;
+	w->seq = a->seq;
+	runner_clock(r, a->clock_ms);
+	if (draining)
+		runner_log(r, MLK_LOG_NOTICE, NULL,
+		    "the worker leaves, %u runs at work, %u ms remain",
+		    r->nactive, a->remaining_ms);
+}
+
+/*
+ * The worker said that it ends now; what runs there ends with it.
+ */
+void
+runner_left(struct mlk_runner *r, const char *worker)
+{
+	struct worker *w = &r->worker;
+
+	if (!w->known || strcmp(worker, w->info.id) != 0)
+		return;
+	if (w->left_at == 0)
+		w->left_at = r->now;
+	runner_log(r, MLK_LOG_NOTICE, NULL, "the worker has left");
+}
+
+/*
+ * Tells whether the worker has not answered for so long that it is offered to
+ * nobody.
+ */
+bool
+runner_away(const struct mlk_runner *r)
+{
+	const struct worker *w = &r->worker;
+
+	return (w->unanswered_since != 0 &&
+	    r->now - w->unanswered_since >= AWAY_NS);
+}
+
+/*
+ * The worker answered an order.
+ */
+void
+runner_answered(struct mlk_runner *r)
+{
+	struct worker *w = &r->worker;
+
+	if (runner_away(r))
+		runner_log(r, MLK_LOG_NOTICE, NULL,
+		    "the worker answers again after %" PRId64 " ms",
+		    (r->now - w->unanswered_since) / MS);
+	w->answered_at = r->now;
+	w->unanswered_since = 0;
+	w->refused = 0;
+}
+
+/*
+ * An order got no answer, or its connection was refused.  A worker that
+ * refuses connections twice in a row does not exist any more, and what it ran
+ * has ended with it.
+ */
+void
+runner_unanswered(struct mlk_runner *r, bool refused)
+{
+	struct worker *w = &r->worker;
+
+	if (w->unanswered_since == 0)
+		w->unanswered_since = r->now;
+	if (!refused) {
+		w->refused = 0;
+		return;
+	}
+	w->settle = true;
+	if (++w->refused == 2)
+		runner_runs_lost(r, "the worker refuses connections");
+}
+
+/*
+ * What follows from time alone: leases that have run out for certain, and the
+ * state that entries are told.
+ */
+void
+runner_worker_due(struct mlk_runner *r)
+{
+	struct worker *w = &r->worker;
+	enum mlk_worker_state state;
+	struct entry *e;
+	guint i;
+
+	if (r->nactive > 0 && w->unanswered_since != 0 && r->now >= w->lapse_at)
+		runner_runs_lost(r,
+		    "the worker does not answer, and every "
+		    "lease has run out");
+	if (w->left_at != 0 && r->nactive > 0 && r->now - w->left_at >= LEFT_NS)
+		runner_runs_lost(r, "the worker has left");
+	/* An agent before this one renewed no lease after our start. */
+	if (!r->clean &&
+	    r->now - r->created >= (int64_t)r->options.lease_ms * MS +
+		    (int64_t)r->options.lease_ms * MS * LEASE_SLACK_PERCENT /
+			100 +
+		    LEASE_SLACK_NS)
+		r->clean = true;
+	state = runner_state(r);
+	if (state == r->state)
+		return;
+	runner_log(r, MLK_LOG_INFO, NULL, "worker state %d -> %d",
+	    (int)r->state, (int)state);
+	r->state = state;
+	for (i = 0; i < r->entries->len; i++) {
+		e = g_ptr_array_index(r->entries, i);
+		e->report = true;
+	}
+}
--- /dev/null
+++ b/src/dispatch/skew.c
@@ -0,0 +1,45 @@
+#include <string.h>
+
+#include "skew.h"
+
+/*
+ * Clocks that run apart by 1 in 1,000 shift the difference by 10 ms in a
+ * window, which is small against every lease.
+ */
+#define WINDOW_MS 10000
+
+void
+mlk_skew_reset(struct mlk_skew *skew)
+{
+	memset(skew, 0, sizeof(*skew));
+}
+
+static int64_t
+least_of(const struct mlk_skew *skew)
+{
+	return (
+	    skew->least[0] < skew->least[1] ? skew->least[0] : skew->least[1]);
+}
+
+int64_t
+mlk_skew_age(struct mlk_skew *skew, int64_t now_ms, uint64_t sent_at)
+{
+	int64_t difference;
+
+	difference = now_ms - (int64_t)sent_at;
+	if (!skew->known) {
+		skew->known = true;
+		skew->least[0] = difference;
+		skew->least[1] = difference;
+		skew->window_end = now_ms + WINDOW_MS;
+		return (0);
+	}
+	if (now_ms >= skew->window_end) {
+		skew->least[1] = skew->least[0];
+		skew->least[0] = difference;
+		skew->window_end = now_ms + WINDOW_MS;
+	}
+	if (difference < skew->least[0])
+		skew->least[0] = difference;
+	return (difference - least_of(skew));
+}
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -30,6 +30,7 @@
 	bool tls;
 	bool starting; /* inside lws_client_connect_via_info() */
 	bool ended; /* meanwhile, with `result` */
+	bool timed_out;
 	bool sent; /* the header was handed to the socket */
 	enum mlk_http_result result;
 	struct mlk_address address;
@@ -123,6 +124,7 @@
 	call_detach(call);
 	ev.u.response.call = call->id;
 	ev.u.response.result = result;
+	ev.u.response.timed_out = call->timed_out;
 	if (result == MLK_HTTP_OK) {
 		ev.u.response.status = call->status;
 		ev.u.response.body = call->response->data;
@@ -154,6 +156,7 @@
 	struct call *call;
 
 	call = lws_container_of(sul, struct call, timer);
+	call->timed_out = true;
 	drop_connection(call);
 	finish(call, call->sent ? MLK_HTTP_TIMEOUT : MLK_HTTP_NOT_SENT);
 }
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -30,6 +30,8 @@
 	char *path;
 	char *query;
 	char *authorization;
+	char *host;
+	uint16_t port; /* of its listener */
 	GByteArray *body;
 	GByteArray *reply; /* header and body; NULL: none */
 	size_t sent; /* bytes of reply */
@@ -114,6 +116,7 @@
 	g_clear_pointer(&c->path, g_free);
 	g_clear_pointer(&c->query, g_free);
 	g_clear_pointer(&c->authorization, g_free);
+	g_clear_pointer(&c->host, g_free);
 	g_clear_pointer(&c->body, g_byte_array_unref);
 	g_clear_pointer(&c->reply, g_byte_array_unref);
 	c->sent = 0;
@@ -156,6 +159,8 @@
 	char head[512], retry[48] = "";
 	int len;
 
+	if (c->loop->http_close_after)
+		c->close_after = true;
 	if (retry_after_s != 0)
 		(void)snprintf(
 		    retry, sizeof(retry), "Retry-After: %u\r\n", retry_after_s);
@@ -236,6 +241,8 @@
 	ev.u.http.path = c->path;
 	ev.u.http.query = c->query;
 	ev.u.http.authorization = c->authorization;
+	ev.u.http.host = c->host;
+	ev.u.http.port = c->port;
 	ev.u.http.body = c->body->data;
 	ev.u.http.body_len = c->body->len;
 	mlk_net_emit(c->loop, &ev);
@@ -254,6 +261,7 @@
 	c->path = g_strdup(path);
 	c->query = header_copy(c->wsi, WSI_TOKEN_HTTP_URI_ARGS);
 	c->authorization = header_copy(c->wsi, WSI_TOKEN_HTTP_AUTHORIZATION);
+	c->host = header_copy(c->wsi, WSI_TOKEN_HOST);
 	c->body = g_byte_array_new();
 }
 
@@ -473,7 +481,7 @@
  * connections the socket is closed.
  */
 void
-mlk_net_http_accept(struct mlk_loop *loop, int fd)
+mlk_net_http_accept(struct mlk_loop *loop, int fd, uint16_t port)
 {
 	lws_sock_file_fd_type desc;
 	struct http_conn *c;
@@ -492,6 +500,7 @@
 	c = g_new0(struct http_conn, 1);
 	c->loop = loop;
 	c->wsi = wsi;
+	c->port = port;
 	loop->http_connections++;
 	lws_set_opaque_user_data(wsi, c);
 	start_timer(c);
@@ -541,6 +550,12 @@
 	return (len >= 0);
 }
 
+void
+mlk_loop_http_close_after(struct mlk_loop *loop, bool close_after)
+{
+	loop->http_close_after = close_after;
+}
+
 size_t
 mlk_loop_http_pending(const struct mlk_loop *loop)
 {
--- a/src/net/listen.c
+++ b/src/net/listen.c
@@ -121,7 +121,7 @@
 			return;
 		mlk_net_nodelay(fd);
 		if (l->http)
-			mlk_net_http_accept(l->loop, fd);
+			mlk_net_http_accept(l->loop, fd, l->port);
 		else
 			mlk_net_link_accept(l->loop, fd);
 	}
--- a/src/net/loop.c
+++ b/src/net/loop.c
@@ -129,11 +129,14 @@
 static void
 on_signal(struct mlk_loop *loop)
 {
-	struct mlk_net_event ev = { .type = MLK_NET_STOP };
+	struct mlk_net_event ev = { 0 };
 	struct signalfd_siginfo info;
 
-	while (read(loop->signal_fd, &info, sizeof(info)) == sizeof(info))
+	while (read(loop->signal_fd, &info, sizeof(info)) == sizeof(info)) {
+		ev.type =
+		    info.ssi_signo == SIGHUP ? MLK_NET_RELOAD : MLK_NET_STOP;
 		mlk_net_emit(loop, &ev);
+	}
 }
 
 static int
@@ -171,8 +174,8 @@
 };
 
 /*
- * Turns SIGTERM and SIGINT into reads of a descriptor, and ignores SIGPIPE,
- * which a write to a closed connection would raise.
+ * Turns SIGTERM, SIGINT and SIGHUP into reads of a descriptor, and ignores
+ * SIGPIPE, which a write to a closed connection would raise.
  */
 static int
 signals_init(struct mlk_loop *loop)
@@ -184,6 +187,7 @@
 	(void)sigemptyset(&mask);
 	(void)sigaddset(&mask, SIGTERM);
 	(void)sigaddset(&mask, SIGINT);
+	(void)sigaddset(&mask, SIGHUP);
 	if (sigprocmask(SIG_BLOCK, &mask, &loop->old_mask) != 0)
 		return (MLK_ERR_IO);
 	loop->signal_fd = signalfd(-1, &mask, SFD_NONBLOCK | SFD_CLOEXEC);
@@ -262,7 +266,7 @@
 
 /*
  * Returns a loop, or NULL with *err set.  The strings in options must live as
- * long as the loop.  SIGTERM and SIGINT are blocked until the loop is
+ * long as the loop.  SIGTERM, SIGINT and SIGHUP are blocked until the loop is
  * destroyed.
  */
 struct mlk_loop *
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -43,6 +43,7 @@
 	GPtrArray *waiting; /* struct http_conn that owe a reply */
 	int64_t scanned_at; /* monotonic, ns; last mlk_net_http_scan() */
 	uint32_t http_connections;
+	bool http_close_after;
 	size_t http_pending;
 
 	GHashTable *calls; /* by id */
@@ -75,7 +76,7 @@
 
 /* http_server.c */
 int mlk_net_http_vhost(struct mlk_loop *loop, struct mlk_error *err);
-void mlk_net_http_accept(struct mlk_loop *loop, int fd);
+void mlk_net_http_accept(struct mlk_loop *loop, int fd, uint16_t port);
 
 void mlk_net_http_scan(struct mlk_loop *loop);
 
--- a/src/run/run_event.c
+++ b/src/run/run_event.c
@@ -39,6 +39,7 @@
 	case MLK_NET_HTTP_REQUEST:
 	case MLK_NET_HTTP_GONE:
 	case MLK_NET_HTTP_RESPONSE:
+	case MLK_NET_RELOAD:
 		break;
 	}
 	return (false);
--- a/src/run/run_loop.c
+++ b/src/run/run_loop.c
@@ -1,6 +1,7 @@
 /*
  * Passes events and effects between the event loop and the reducer.
  */
+#include <monsoonlock/app.h>
 #include <monsoonlock/run.h>
 
 static void
@@ -65,6 +66,11 @@
 	struct mlk_store_answer answer;
 	struct mlk_event ev;
 
+	if (nev->type == MLK_NET_RELOAD) {
+		mlk_log(MLK_LOG_NOTICE,
+		    "SIGHUP ignored: the settings are read at start only");
+		return;
+	}
 	if (nev->type == MLK_NET_TICK)
 		apply_failed(run);
 	if (mlk_run_event(nev, &ev))
--- a/src/wire/filters.c
+++ b/src/wire/filters.c
@@ -26,6 +26,12 @@
 #define PEER_MIN 20U
 #define EPOCH_MIN 8U
 #define HASH_MIN 4U
+#define RUN_TASK_MIN 16U
+#define RUN_RESULT_MIN 24U
+#define ROUTE_MIN 36U
+#define POOL_MIN 12U
+
+#define POOLS_MAX 4096U
 
 /*
  * Reads a length without consuming it, and checks that it is at most max and
@@ -380,6 +386,129 @@
 	    xdrs, m->u.peers.peers, m->u.peers.n, PEERS_MAX, PEER_MIN, peer));
 }
 
+static bool_t
+room(XDR *xdrs, struct mlk_room *r)
+{
+	return (xdr_u_int(xdrs, &r->cpu) && xdr_u_int(xdrs, &r->mem_mb) &&
+	    xdr_u_int(xdrs, &r->gpu));
+}
+
+static bool_t
+worker_info(XDR *xdrs, struct mlk_worker_info *w)
+{
+	u_int state;
+
+	state = (u_int)w->state;
+	if (!TEXT(xdrs, w->id) || !xdr_uint64_t(xdrs, &w->boot) ||
+	    !TEXT(xdrs, w->pool) || !TEXT(xdrs, w->labels) ||
+	    !number(xdrs, &state, MLK_WORKER_READY, MLK_WORKER_AWAY))
+		return (FALSE);
+	w->state = (enum mlk_worker_state)state;
+	return (room(xdrs, &w->capacity));
+}
+
+static bool_t
+worker_load(XDR *xdrs, struct mlk_worker_load *l)
+{
+	return (room(xdrs, &l->free) && xdr_u_int(xdrs, &l->running) &&
+	    xdr_u_int(xdrs, &l->waiting));
+}
+
+static bool_t
+run_task(XDR *xdrs, struct mlk_run_task *t)
+{
+	return (number(xdrs, &t->index, 0, MLK_TASKS_MAX - 1) &&
+	    room(xdrs, &t->room));
+}
+
+static bool_t
+run_result(XDR *xdrs, struct mlk_run_result *r)
+{
+	u_int end;
+
+	end = (u_int)r->end;
+	if (!xdr_uint64_t(xdrs, &r->job) ||
+	    !number(xdrs, &r->step, 0, MLK_STEPS_MAX - 1) ||
+	    !number(xdrs, &r->index, 0, MLK_TASKS_MAX - 1) ||
+	    !number(xdrs, &end, MLK_RUN_DONE, MLK_RUN_STALLED))
+		return (FALSE);
+	r->end = (enum mlk_run_end)end;
+	return (xdr_u_int(xdrs, &r->run_ms));
+}
+
+static bool_t
+route(XDR *xdrs, struct mlk_route *r)
+{
+	return (TEXT(xdrs, r->name) && TEXT(xdrs, r->host) &&
+	    TEXT(xdrs, r->prefix) && TEXT(xdrs, r->pool) &&
+	    xdr_u_int(xdrs, &r->timeout_ms) && xdr_u_int(xdrs, &r->target_ms) &&
+	    xdr_u_int(xdrs, &r->priority) && xdr_u_int(xdrs, &r->attempts) &&
+	    xdr_u_int(xdrs, &r->stretch));
+}
+
+static bool_t
+pool(XDR *xdrs, struct mlk_pool *p)
+{
+	return (TEXT(xdrs, p->name) && TEXT(xdrs, p->health_path) &&
+	    flag(xdrs, &p->guards_room));
+}
+
+static bool_t
+routes_body(XDR *xdrs, struct mlk_routing *r)
+{
+	return (xdr_uint64_t(xdrs, &r->version) &&
+	    ARRAY(xdrs, r->routes, r->nroutes, MLK_ROUTES_MAX, ROUTE_MIN,
+		route) &&
+	    ARRAY(xdrs, r->pools, r->npools, POOLS_MAX, POOL_MIN, pool) &&
+	    xdr_u_int(xdrs, &r->max_body_bytes) &&
+	    xdr_u_int(xdrs, &r->header_timeout_ms) &&
+	    xdr_u_int(xdrs, &r->idle_timeout_ms));
+}
+
+static bool_t
+attach_body(XDR *xdrs, struct mlk_msg *m)
+{
+	return (TEXT(xdrs, m->u.attach.id) &&
+	    xdr_uint64_t(xdrs, &m->u.attach.incarnation) &&
+	    TEXT(xdrs, m->u.attach.dc));
+}
+
+static bool_t
+worker_body(XDR *xdrs, struct mlk_msg *m)
+{
+	return (xdr_uint64_t(xdrs, &m->u.worker.sent_at) &&
+	    xdr_uint64_t(xdrs, &m->u.worker.seen) &&
+	    xdr_uint64_t(xdrs, &m->u.worker.routing_version) &&
+	    worker_info(xdrs, &m->u.worker.info) &&
+	    worker_load(xdrs, &m->u.worker.load));
+}
+
+static bool_t
+run_body(XDR *xdrs, struct mlk_msg *m)
+{
+	return (xdr_uint64_t(xdrs, &m->u.run.sent_at) &&
+	    xdr_uint64_t(xdrs, &m->u.run.seq) &&
+	    xdr_uint64_t(xdrs, &m->u.run.job) && TEXT(xdrs, m->u.run.id) &&
+	    number(xdrs, &m->u.run.step, 0, MLK_STEPS_MAX - 1) &&
+	    xdr_u_int(xdrs, &m->u.run.deadline_ms) &&
+	    xdr_u_int(xdrs, &m->u.run.urgency_ms) &&
+	    xdr_u_int(xdrs, &m->u.run.wait_ms) &&
+	    xdr_u_int(xdrs, &m->u.run.estimate_ms) &&
+	    blob(xdrs, &m->u.run.spec) &&
+	    ARRAY(xdrs, m->u.run.tasks, m->u.run.n, MLK_TASKS_MAX, RUN_TASK_MIN,
+		run_task));
+}
+
+static bool_t
+ends_body(XDR *xdrs, struct mlk_msg *m)
+{
+	return (xdr_uint64_t(xdrs, &m->u.ends.sent_at) &&
+	    xdr_uint64_t(xdrs, &m->u.ends.seen) &&
+	    worker_load(xdrs, &m->u.ends.load) &&
+	    ARRAY(xdrs, m->u.ends.items, m->u.ends.n, BATCH_MAX, RUN_RESULT_MIN,
+		run_result));
+}
+
 /*
  * Encodes or decodes the body of msg->type.  Returns FALSE when a field is
  * over its bound, or when the type is unknown.
@@ -432,6 +561,22 @@
 		return (peers_body(xdrs, msg));
 	case MLK_MSG_LEAVE:
 		return (TRUE);
+	case MLK_MSG_ATTACH:
+		return (attach_body(xdrs, msg));
+	case MLK_MSG_WORKER:
+		return (worker_body(xdrs, msg));
+	case MLK_MSG_RUN:
+		return (run_body(xdrs, msg));
+	case MLK_MSG_ENDS:
+		return (ends_body(xdrs, msg));
+	case MLK_MSG_DROP:
+		return (xdr_uint64_t(xdrs, &msg->u.drop.sent_at) &&
+		    xdr_uint64_t(xdrs, &msg->u.drop.job));
+	case MLK_MSG_PING:
+		return (xdr_uint64_t(xdrs, &msg->u.ping.sent_at) &&
+		    xdr_uint64_t(xdrs, &msg->u.ping.routing_version));
+	case MLK_MSG_ROUTES:
+		return (routes_body(xdrs, &msg->u.routes));
 	default:
 		return (FALSE);
 	}
--- a/standin/endpoint.c
+++ b/standin/endpoint.c
@@ -340,6 +340,7 @@
 		e->stopping = true;
 		mlk_loop_close_listeners(e->loop);
 		break;
+	case MLK_NET_RELOAD:
 	case MLK_NET_LINK_UP:
 	case MLK_NET_LINK_DOWN:
 	case MLK_NET_MSG:
--- a/test/test_settings.c
+++ b/test/test_settings.c
@@ -302,15 +302,23 @@
 	char *line;
 
 	(void)state;
-	line = mlk_log_format(
-	    true, 1500, MLK_LOG_WARNING, "a \"b\"\nc", "k1", "", "7");
+	line = mlk_log_format(true,
+	    &(struct mlk_log_line){ .wall_ms = 1500,
+		.level = MLK_LOG_WARNING,
+		.message = "a \"b\"\nc",
+		.submission = "k1",
+		.worker = "",
+		.epoch = "7" });
 	assert_string_equal(line,
 	    "{\"time\":\"1970-01-01T00:00:01.500Z\",\"level\":\"warning\","
 	    "\"message\":\"a \\\"b\\\"\\nc\",\"submission\":\"k1\","
 	    "\"epoch\":\"7\"}");
 	free(line);
-	line =
-	    mlk_log_format(false, 1500, MLK_LOG_NOTICE, "a\nb", "", "w1", "");
+	line = mlk_log_format(false,
+	    &(struct mlk_log_line){ .wall_ms = 1500,
+		.level = MLK_LOG_NOTICE,
+		.message = "a\nb",
+		.worker = "w1" });
 	assert_string_equal(
 	    line, "1970-01-01T00:00:01.500Z notice: a b worker=w1");
 	free(line);
