--- a/src/dispatch/dispatcher_jobs.c
+++ b/src/dispatch/dispatcher_jobs.c
@@ -59,7 +59,7 @@
 }
 
 /*
- * Takes a task off the agent that it was sent to.
+ * Takes a task off the agent that it was sent to; it is nowhere then.
  */
 static void
 task_unsend(struct mlk_dispatcher *d, struct task *task)
@@ -71,6 +71,7 @@
 		a->waiting--;
 	task->waits = false;
 	task->agent = NULL;
+	task->state = TASK_BLOCKED;
 	task->job->nsent--;
 	d->nsent--;
 }
--- a/src/dispatch/dispatcher_priv.h
+++ b/src/dispatch/dispatcher_priv.h
@@ -100,7 +100,7 @@
 };
 
 enum task_state {
-	TASK_BLOCKED, /* steps before its own are not done */
+	TASK_BLOCKED, /* steps before its own are not done; or in between */
 	TASK_QUEUED,
 	TASK_SENT, /* -> QUEUED, DETACHED, or DONE */
 	TASK_DETACHED, /* its link is closed; -> QUEUED when it is over */
--- /dev/null
+++ b/test/test_dispatcher.c
@@ -0,0 +1,311 @@
+/*
+ * Tests of the dispatcher: what a caller is told, and where tasks go.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "dispatch_bench.h"
+
+#define CPU 64000
+
+static int
+setup(void **state)
+{
+	struct dispatch_bench *b = calloc(1, sizeof(*b));
+
+	assert_non_null(b);
+	bench_init(b);
+	bench_routes(b, 1, 2);
+	*state = b;
+	return (0);
+}
+
+static int
+teardown(void **state)
+{
+	bench_free(*state);
+	free(*state);
+	return (0);
+}
+
+static void
+expect_answer(
+    struct dispatch_bench *b, uint64_t request, enum mlk_work_outcome outcome)
+{
+	const struct bench_answer *answer = bench_answer_to(b, request);
+
+	assert_non_null(answer);
+	assert_int_equal(answer->outcome, outcome);
+}
+
+/* Guards against a job that is answered before its last task is done. */
+static void
+test_complete_when_all_done(void **state)
+{
+	struct dispatch_bench *b = *state;
+	struct bench_agent a;
+	uint64_t request;
+
+	bench_attach(b, &a, "agent-1", "dc-a", CPU);
+	request = bench_submit(b, "job", 2, 6000, 2000);
+	assert_int_equal(bench_sent_tasks(b, &a), 2);
+	bench_end(b, &a, 1, 0, MLK_RUN_DONE);
+	assert_null(bench_answer_to(b, request));
+	bench_end(b, &a, 1, 1, MLK_RUN_DONE);
+	expect_answer(b, request, MLK_WORK_COMPLETED);
+}
+
+/*
+ * Guards against a crash that the first days on the users' platform showed:
+ * the failed task was still taken for one at work when its job was given up.
+ */
+static void
+test_failed_job_stops_the_rest(void **state)
+{
+	struct dispatch_bench *b = *state;
+	struct bench_agent a, c;
+	uint64_t request;
+
+	bench_attach(b, &a, "agent-1", "dc-a", CPU);
+	request = bench_submit(b, "job", 3, 6000, 2000);
+	bench_end(b, &a, 1, 0, MLK_RUN_FAILED);
+	assert_null(bench_answer_to(b, request));
+	bench_attach(b, &c, "agent-2", "dc-a", CPU);
+	assert_int_equal(bench_sent_tasks(b, &c), 1);
+	bench_end(b, &c, 1, 0, MLK_RUN_FAILED);
+	expect_answer(b, request, MLK_WORK_FAILED);
+	assert_non_null(bench_sent(b, &a, MLK_MSG_DROP, 0));
+	assert_null(bench_sent(b, &c, MLK_MSG_DROP, 0));
+}
+
+/* Guards against a task that starts anew where it has just failed. */
+static void
+test_failed_task_goes_elsewhere(void **state)
+{
+	struct dispatch_bench *b = *state;
+	struct bench_agent a, c;
+
+	bench_attach(b, &a, "agent-1", "dc-a", CPU);
+	(void)bench_submit(b, "job", 1, 6000, 2000);
+	bench_attach(b, &c, "agent-2", "dc-b", CPU);
+	bench_end(b, &a, 1, 0, MLK_RUN_FAILED);
+	assert_int_equal(bench_sent_tasks(b, &a), 0);
+	assert_int_equal(bench_sent_tasks(b, &c), 1);
+}
+
+/* Guards against a refusal that is held back, or that is not true. */
+static void
+test_refused_at_once_without_workers(void **state)
+{
+	struct dispatch_bench *b = *state;
+	uint64_t request;
+
+	request = bench_submit(b, "job", 1, 6000, 2000);
+	expect_answer(b, request, MLK_WORK_REFUSED);
+	assert_int_equal(bench_answer_to(b, request)->retry_after_ms, 1000);
+}
+
+/*
+ * Guards against "not run" for a job of which a run was under way when its
+ * deadline passed.
+ */
+static void
+test_deadline_tells_the_truth(void **state)
+{
+	struct dispatch_bench *b = *state;
+	uint64_t sent, waits;
+	struct bench_agent a;
+
+	bench_attach(b, &a, "agent-1", "dc-a", CPU);
+	sent = bench_submit(b, "sent", 1, CPU, 500);
+	a.free.cpu = 0;
+	a.seen = 1;
+	bench_worker(b, &a, MLK_WORKER_READY);
+	bench_end(b, &a, 99, 0, MLK_RUN_DONE);
+	waits = bench_submit(b, "waits", 2, CPU, 600);
+	assert_int_equal(bench_sent_tasks(b, &a), 1);
+	bench_end(b, &a, 2, 0, MLK_RUN_BUSY);
+	bench_worker(b, &a, MLK_WORKER_DRAINING);
+	bench_end(b, &a, 2, 0, MLK_RUN_REFUSED);
+	bench_end(b, &a, 2, 1, MLK_RUN_REFUSED);
+	bench_pass(b, 560);
+	expect_answer(b, sent, MLK_WORK_LATE);
+	bench_pass(b, 200);
+	expect_answer(b, waits, MLK_WORK_REFUSED);
+}
+
+/*
+ * Guards against two runs of a task at a time: after a link has ended its
+ * tasks may still be at work until the agent's and the worker's leases are
+ * over.
+ */
+static void
+test_lost_link_waits_for_leases(void **state)
+{
+	struct dispatch_bench *b = *state;
+	struct bench_agent a, c;
+
+	bench_attach(b, &a, "agent-1", "dc-a", CPU);
+	(void)bench_submit(b, "job", 1, 6000, 5000);
+	bench_attach(b, &c, "agent-2", "dc-a", CPU);
+	bench_link_down(b, &a);
+	assert_int_equal(bench_sent_tasks(b, &c), 0);
+	for (int i = 0; i < 54; i++) {
+		bench_pass(b, 20);
+		assert_int_equal(bench_sent_tasks(b, &c), 0);
+		if (i % 10 == 0)
+			bench_worker(b, &c, MLK_WORKER_READY);
+	}
+	bench_pass(b, 20);
+	bench_pass(b, 20);
+	assert_int_equal(bench_sent_tasks(b, &c), 1);
+}
+
+/* Guards against a wait when the agent itself says that nothing is left. */
+static void
+test_attach_ends_the_wait(void **state)
+{
+	struct dispatch_bench *b = *state;
+	struct bench_agent a;
+
+	bench_attach(b, &a, "agent-1", "dc-a", CPU);
+	(void)bench_submit(b, "job", 1, 6000, 5000);
+	bench_link_down(b, &a);
+	bench_pass(b, 100);
+	bench_attach(b, &a, "agent-1", "dc-a", CPU);
+	assert_int_equal(bench_sent_tasks(b, &a), 1);
+}
+
+/* Guards against runs that go on for a caller who has left. */
+static void
+test_caller_left(void **state)
+{
+	struct dispatch_bench *b = *state;
+	struct bench_agent a;
+	uint64_t request;
+
+	bench_attach(b, &a, "agent-1", "dc-a", CPU);
+	request = bench_submit(b, "job", 2, 6000, 2000);
+	bench_gone(b, request);
+	assert_non_null(bench_sent(b, &a, MLK_MSG_DROP, 0));
+	bench_end(b, &a, 1, 0, MLK_RUN_STOPPED);
+	assert_null(bench_answer_to(b, request));
+	assert_int_equal(bench_sent_tasks(b, &a), 0);
+}
+
+/* Guards against a second set of runs when a request comes again. */
+static void
+test_same_id_joins(void **state)
+{
+	struct dispatch_bench *b = *state;
+	uint64_t first, second;
+	struct bench_agent a;
+
+	bench_attach(b, &a, "agent-1", "dc-a", CPU);
+	first = bench_submit(b, "job", 1, 6000, 2000);
+	second = bench_submit(b, "job", 1, 6000, 2000);
+	assert_int_equal(bench_sent_tasks(b, &a), 0);
+	bench_gone(b, first);
+	assert_null(bench_sent(b, &a, MLK_MSG_DROP, 0));
+	bench_end(b, &a, 1, 0, MLK_RUN_DONE);
+	expect_answer(b, second, MLK_WORK_COMPLETED);
+	assert_null(bench_answer_to(b, first));
+}
+
+/* Guards against a job spread over workers although one holds all of it. */
+static void
+test_job_goes_together(void **state)
+{
+	struct dispatch_bench *b = *state;
+	struct bench_agent a, c;
+
+	bench_attach(b, &a, "agent-1", "dc-a", CPU);
+	bench_attach(b, &c, "agent-2", "dc-a", CPU);
+	a.free.cpu = 20000;
+	bench_worker(b, &a, MLK_WORKER_READY);
+	(void)bench_submit(b, "job", 8, 6000, 2000);
+	assert_int_equal(bench_sent_tasks(b, &a), 0);
+	assert_int_equal(bench_sent_tasks(b, &c), 8);
+}
+
+/* Guards against more tasks sent than the known room holds. */
+static void
+test_room_is_not_sent_twice(void **state)
+{
+	struct dispatch_bench *b = *state;
+	struct bench_agent a;
+
+	bench_attach(b, &a, "agent-1", "dc-a", CPU);
+	(void)bench_submit(b, "one", 8, 7000, 2000);
+	assert_int_equal(bench_sent_tasks(b, &a), 8);
+	(void)bench_submit(b, "two", 8, 7000, 2000);
+	/* One fits beside the eight, and one may wait for room. */
+	assert_int_equal(bench_sent_tasks(b, &a), 2);
+}
+
+/* Guards against a version that falls. */
+static void
+test_routing_never_falls(void **state)
+{
+	struct dispatch_bench *b = *state;
+	struct mlk_dispatch_gauges gauges;
+
+	bench_routes(b, 9, 2);
+	bench_routes(b, 5, 2);
+	mlk_dispatch_gauges(b->d, &gauges);
+	assert_int_equal(gauges.routing_version, 9);
+}
+
+/* Guards against a planned stop that cuts jobs off or never ends. */
+static void
+test_planned_stop(void **state)
+{
+	struct dispatch_bench *b = *state;
+	struct mlk_dispatch_event ev = { .type = MLK_DISPATCH_STOP };
+	struct mlk_dispatch_gauges gauges;
+	struct bench_agent a;
+	uint64_t request;
+
+	bench_attach(b, &a, "agent-1", "dc-a", CPU);
+	request = bench_submit(b, "job", 1, 6000, 5000);
+	bench_apply(b, &ev);
+	mlk_dispatch_gauges(b->d, &gauges);
+	assert_false(gauges.ready);
+	bench_pass(b, 600);
+	bench_end(b, &a, 1, 0, MLK_RUN_DONE);
+	expect_answer(b, request, MLK_WORK_COMPLETED);
+	assert_false(b->exited);
+	bench_pass(b, 2600);
+	assert_true(b->exited);
+}
+
+int
+main(void)
+{
+#define TEST(name) cmocka_unit_test_setup_teardown(name, setup, teardown)
+	const struct CMUnitTest tests[] = {
+		TEST(test_complete_when_all_done),
+		TEST(test_failed_job_stops_the_rest),
+		TEST(test_failed_task_goes_elsewhere),
+		TEST(test_refused_at_once_without_workers),
+		TEST(test_deadline_tells_the_truth),
+		TEST(test_lost_link_waits_for_leases),
+		TEST(test_attach_ends_the_wait),
+		TEST(test_caller_left),
+		TEST(test_same_id_joins),
+		TEST(test_job_goes_together),
+		TEST(test_room_is_not_sent_twice),
+		TEST(test_routing_never_falls),
+		TEST(test_planned_stop),
+	};
+#undef TEST
+
+	return (cmocka_run_group_tests(tests, NULL, NULL));
+}
