--- a/include/monsoonlock/dispatch.h
+++ b/include/monsoonlock/dispatch.h
@@ -45,6 +45,9 @@
 	int64_t due; /* of the next call */
 	int64_t delay; /* before the next one that follows a failure */
 	uint32_t failures; /* in a row */
+	uint32_t longest_wait_ms; /* of the store, for a change */
+	uint32_t wait_ms; /* of the present call */
+	uint32_t timeout_ms; /* of the present call, the wait included */
 	struct mlk_rng rng;
 };
 
@@ -60,7 +63,8 @@
 	MLK_WATCH_UNAVAILABLE,
 };
 
-void mlk_watch_init(struct mlk_watch *watch, uint64_t seed);
+void mlk_watch_init(
+    struct mlk_watch *watch, uint64_t seed, uint32_t longest_wait_ms);
 /* The call to make now; it counts as made. */
 enum mlk_watch_call mlk_watch_due(struct mlk_watch *watch, int64_t now);
 void mlk_watch_ended(struct mlk_watch *watch, enum mlk_watch_result result,
--- a/src/dispatch/watch.c
+++ b/src/dispatch/watch.c
@@ -14,11 +14,20 @@
 /* Calls that end at once must not become a busy loop. */
 #define MIN_GAP_NS (5 * (int64_t)MLK_NSEC_PER_MSEC)
 
+/*
+ * The store answers within 10 ms, and within 300 ms when it is slow.  A call
+ * that an outage has swallowed must not hide its end for long; the first read
+ * may, every other time, in case the store is slower than that.
+ */
+#define TIMEOUT_MS 1100U
+#define PATIENT_TIMEOUT_MS 4000U
+
 void
-mlk_watch_init(struct mlk_watch *watch, uint64_t seed)
+mlk_watch_init(struct mlk_watch *watch, uint64_t seed, uint32_t longest_wait_ms)
 {
 	memset(watch, 0, sizeof(*watch));
 	mlk_rng_seed(&watch->rng, seed);
+	watch->longest_wait_ms = longest_wait_ms;
 }
 
 enum mlk_watch_call
@@ -27,7 +36,19 @@
 	if (watch->calling || now < watch->due)
 		return (MLK_WATCH_NONE);
 	watch->calling = true;
-	return (watch->following ? MLK_WATCH_FOLLOW : MLK_WATCH_READ);
+	watch->timeout_ms = TIMEOUT_MS;
+	if (!watch->following) {
+		if (watch->failures % 2 == 1)
+			watch->timeout_ms = PATIENT_TIMEOUT_MS;
+		return (MLK_WATCH_READ);
+	}
+	/*
+	 * A store that is silent does not tell a wait from an outage: after a
+	 * failure a call that waits would hide the store's return.
+	 */
+	watch->wait_ms = watch->failures > 0 ? 0 : watch->longest_wait_ms;
+	watch->timeout_ms += watch->wait_ms;
+	return (MLK_WATCH_FOLLOW);
 }
 
 /*
