--- a/include/monsoonlock/core.h
+++ b/include/monsoonlock/core.h
@@ -163,6 +163,7 @@
 enum mlk_worker_state {
 	MLK_WORKER_READY = 0,
 	MLK_WORKER_DRAINING, /* leaves; starts nothing new */
+	MLK_WORKER_SICK, /* answers, but its runs stand still, crawl or fail */
 	MLK_WORKER_AWAY, /* not known, not reached, or not yet cleared */
 };
 
@@ -176,20 +177,26 @@
 };
 
 struct mlk_worker_load {
-	struct mlk_room free; /* less what waits at the agent */
+	struct mlk_room free; /* less what is offered */
 	uint32_t running;
-	uint32_t waiting;
+};
+
+/* What an entry has no room for, by the most urgent task. */
+struct mlk_want {
+	uint32_t tasks; /* 0: nothing */
+	uint32_t urgency_ms; /* less comes first */
+	struct mlk_room room; /* of that task */
 };
 
 /* How a run ended.  After any of these nothing of the run is at work. */
 enum mlk_run_end {
 	MLK_RUN_DONE = 0,
 	MLK_RUN_FAILED, /* by its own fault or the worker's */
-	MLK_RUN_BUSY, /* not run: no room within the time allowed */
+	MLK_RUN_BUSY, /* not run: no room */
 	MLK_RUN_REFUSED, /* not run: the worker takes no work, or too late */
 	MLK_RUN_LOST, /* ended with its lease or its worker */
 	MLK_RUN_STOPPED, /* by order */
-	MLK_RUN_STALLED, /* stopped, since it made no progress */
+	MLK_RUN_STALLED, /* stopped, since its worker is sick */
 };
 
 struct mlk_run_task {
@@ -324,6 +331,8 @@
 	MLK_MSG_DROP,
 	MLK_MSG_PING,
 	MLK_MSG_ROUTES,
+	MLK_MSG_WANT,
+	MLK_MSG_OFFER,
 	MLK_MSG_TYPES,
 };
 
@@ -440,9 +449,10 @@
 			char id[MLK_ID_MAX]; /* of the job */
 			uint32_t step;
 			uint32_t deadline_ms; /* no run of the job after it */
-			uint32_t urgency_ms; /* less comes first */
-			uint32_t wait_ms; /* for room, then BUSY */
-			uint32_t estimate_ms; /* of a task's work */
+			uint64_t offer; /* that it takes; 0: none */
+			struct mlk_want want; /* after this message */
+			uint32_t expected_ms; /* to run; 0: unknown */
+			uint8_t movable; /* may end STALLED */
 			struct mlk_blob spec;
 			uint32_t n;
 			struct mlk_run_task *tasks;
@@ -454,6 +464,16 @@
 			uint32_t n;
 			struct mlk_run_result *items;
 		} ends;
+		struct { /* entry -> agent */
+			uint64_t sent_at;
+			uint64_t offer; /* that it does not take; 0: none */
+			struct mlk_want want;
+		} want;
+		struct { /* agent -> entry: room kept for a short time */
+			uint64_t sent_at;
+			uint64_t offer;
+			struct mlk_room room;
+		} offer;
 		struct { /* entry -> agent: stop every run of the job */
 			uint64_t sent_at;
 			uint64_t job;
--- a/include/monsoonlock/dispatch.h
+++ b/include/monsoonlock/dispatch.h
@@ -98,6 +98,7 @@
 	uint64_t ack; /* LIST: ends up to this number are done with */
 	uint32_t wait_ms; /* LIST: the worker answers at an end, or then */
 	uint32_t timeout_ms;
+	uint32_t channel; /* LIST: calls of one channel follow one another */
 	bool fresh; /* on a new connection */
 };
 
@@ -248,8 +249,11 @@
 	X(failed, "Runs that ended failed")                        \
 	X(stopped, "Runs that were stopped")                       \
 	X(lost, "Runs that ended with their lease or worker")      \
-	X(stalled, "Runs stopped for lack of progress")            \
+	X(stalled, "Runs moved away from a sick worker")           \
+	X(sick, "Times that the worker was found sick")            \
 	X(busy, "Tasks answered not run for lack of room")         \
+	X(offers, "Offers of room sent to entries")                \
+	X(offers_lapsed, "Offers that were not answered")          \
 	X(refused, "Tasks answered not run for another cause")     \
 	X(entry_leases, "Times that an entry's lease ran out")     \
 	X(boots, "Lives of the worker seen")
@@ -264,7 +268,6 @@
 	bool ready; /* offers room to an entry */
 	uint32_t entries;
 	uint32_t running;
-	uint32_t waiting;
 	struct mlk_room capacity;
 	struct mlk_room free;
 	uint64_t fence;
@@ -420,9 +423,13 @@
 	X(abandoned, "Jobs whose caller left")                             \
 	X(tasks_sent, "Tasks sent to agents")                              \
 	X(tasks_busy, "Tasks that came back for lack of room")             \
+	X(wants, "Messages that asked for room")                           \
+	X(offers_taken, "Offers of room that were used")                   \
+	X(offers_passed, "Offers of room that were not")                   \
 	X(tasks_refused, "Tasks that came back not run for another cause") \
 	X(tasks_lost, "Runs lost with a lease, worker, agent or link")     \
 	X(tasks_failed, "Runs that failed")                                \
+	X(tasks_moved, "Runs moved away from sick workers")                \
 	X(links_silent, "Links closed after silence")                      \
 	X(routings, "Routing tables put in force")
 
--- a/src/app/metrics.c
+++ b/src/app/metrics.c
@@ -145,7 +145,6 @@
 	G("ready", gauges->ready, "1 when the worker is offered to an entry")
 	G("entries", gauges->entries, "Entries attached to")
 	G("running", gauges->running, "Runs that hold room")
-	G("waiting", gauges->waiting, "Tasks that wait for room")
 	G("capacity_cpu", gauges->capacity.cpu,
 	    "Processor of the worker, in thousandths of a core")
 	G("free_cpu", gauges->free.cpu, "Of it free")
--- a/src/core/types.c
+++ b/src/core/types.c
@@ -292,6 +292,8 @@
 		[MLK_MSG_DROP] = "DROP",
 		[MLK_MSG_PING] = "PING",
 		[MLK_MSG_ROUTES] = "ROUTES",
+		[MLK_MSG_WANT] = "WANT",
+		[MLK_MSG_OFFER] = "OFFER",
 	};
 
 	if ((unsigned int)type >= MLK_MSG_TYPES || names[type] == NULL)
--- a/src/dispatch/dispatcher.c
+++ b/src/dispatch/dispatcher.c
@@ -44,6 +44,8 @@
 	d->by_id = g_hash_table_new(g_str_hash, g_str_equal);
 	d->by_request =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+	d->paces =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	d->queue = g_sequence_new(NULL);
 	for (i = 0; i < options->nentries; i++)
 		(void)dispatch_peer_learn(d, options->entries[i], true);
@@ -56,6 +58,7 @@
 	if (d == NULL)
 		return;
 	g_sequence_free(d->queue);
+	g_hash_table_destroy(d->paces);
 	g_hash_table_destroy(d->by_request);
 	g_hash_table_destroy(d->by_id);
 	g_hash_table_destroy(d->jobs);
@@ -201,6 +204,7 @@
 		dispatch_peers_due(d);
 		dispatch_agents_due(d);
 		dispatch_jobs_due(d);
+		d->place = true;
 	}
 	dispatch_place(d);
 	stop_due(d);
--- a/src/dispatch/dispatcher_agents.c
+++ b/src/dispatch/dispatcher_agents.c
@@ -61,7 +61,7 @@
 	a->detached_until = 0;
 	while (a->tasks->len > 0)
 		dispatch_task_ended(
-		    d, g_ptr_array_index(a->tasks, 0), MLK_RUN_LOST);
+		    d, g_ptr_array_index(a->tasks, 0), MLK_RUN_LOST, 0);
 }
 
 /*
@@ -171,7 +171,8 @@
 		task = task_find(d, result);
 		if (task != NULL && task->state == TASK_SENT &&
 		    task->agent == a)
-			dispatch_task_ended(d, task, result->end);
+			dispatch_task_ended(
+			    d, task, result->end, result->run_ms);
 	}
 }
 
@@ -187,7 +188,7 @@
 
 	a->link = 0;
 	a->known = false;
-	a->waiting = 0;
+	a->want_tasks = 0;
 	a->detached_until = d->now + DETACHED_NS;
 	(void)g_array_set_size(a->unseen, 0);
 	for (i = 0; i < a->tasks->len; i++)
--- a/src/dispatch/dispatcher_jobs.c
+++ b/src/dispatch/dispatcher_jobs.c
@@ -6,6 +6,12 @@
 
 #include "dispatcher_priv.h"
 
+/*
+ * An answer later than so many response-time goals is of no use to a caller of
+ * the users' deployments.
+ */
+#define USEFUL_GOALS 3
+
 void
 dispatch_job_free(gpointer data)
 {
@@ -67,9 +73,6 @@
 	struct agent *a = task->agent;
 
 	(void)g_ptr_array_remove_fast(a->tasks, task);
-	if (task->waits && task->state == TASK_SENT && a->waiting > 0)
-		a->waiting--;
-	task->waits = false;
 	task->agent = NULL;
 	task->state = TASK_BLOCKED;
 	task->job->nsent--;
@@ -180,10 +183,11 @@
 }
 
 static void
-task_done(struct mlk_dispatcher *d, struct task *task)
+task_done(struct mlk_dispatcher *d, struct task *task, uint32_t run_ms)
 {
 	struct job *job = task->job;
 
+	dispatch_pace_note(d, job, task->step, run_ms);
 	task->state = TASK_DONE;
 	job->left[task->step]--;
 	job->nleft--;
@@ -216,8 +220,8 @@
  * a place again.
  */
 void
-dispatch_task_ended(
-    struct mlk_dispatcher *d, struct task *task, enum mlk_run_end end)
+dispatch_task_ended(struct mlk_dispatcher *d, struct task *task,
+    enum mlk_run_end end, uint32_t run_ms)
 {
 	struct agent *a = task->agent;
 
@@ -226,7 +230,7 @@
 		task->job->ran = true;
 	switch (end) {
 	case MLK_RUN_DONE:
-		task_done(d, task);
+		task_done(d, task, run_ms);
 		return;
 	case MLK_RUN_FAILED:
 		task_failed(d, task, a);
@@ -245,9 +249,8 @@
 		break;
 	case MLK_RUN_STALLED:
 		avoid(task->job, a);
-		dispatch_log(d, MLK_LOG_INFO, task->job, a->id,
-		    "task %u.%u made no progress there", task->step,
-		    task->index);
+		task->moves++;
+		d->counters.tasks_moved++;
 		break;
 	}
 	dispatch_enqueue(d, task);
@@ -262,7 +265,6 @@
 	(void)d;
 	if (task->state == TASK_SENT)
 		task->state = TASK_DETACHED;
-	task->waits = false;
 }
 
 static struct job *
@@ -271,7 +273,7 @@
 {
 	const struct mlk_work *work = ev->u.submit.work;
 	uint32_t i, k, n = 0;
-	int64_t deadline_ms;
+	int64_t deadline_ms, work_ns;
 	struct job *job;
 
 	job = g_new0(struct job, 1);
@@ -280,6 +282,7 @@
 	(void)g_strlcpy(
 	    job->request_id, ev->u.submit.request_id, sizeof(job->request_id));
 	(void)g_strlcpy(job->pool, route->pool, sizeof(job->pool));
+	(void)g_strlcpy(job->route, route->name, sizeof(job->route));
 	job->priority = route->priority;
 	job->attempts = MAX(route->attempts, 1);
 	job->arrived = d->now;
@@ -305,6 +308,9 @@
 			job->tasks[n].index = k;
 		}
 	}
+	job->goal_ns = dispatch_goal_ns(
+	    d, job, route->target_ms, route->stretch, &work_ns);
+	job->start_by = job->arrived + job->goal_ns - work_ns;
 	(void)g_hash_table_insert(d->jobs, &job->handle, job);
 	(void)g_hash_table_insert(d->by_id, job->id, job);
 	return (job);
@@ -448,7 +454,18 @@
 }
 
 /*
- * Jobs whose deadline has passed.
+ * Tells whether a job has waited for so long that an answer would be of no use
+ * to its caller, before anything of it began.
+ */
+static bool
+waited_too_long(const struct mlk_dispatcher *d, const struct job *job)
+{
+	return (!job->ran && job->nsent == 0 &&
+	    d->now - job->arrived >= job->goal_ns * USEFUL_GOALS);
+}
+
+/*
+ * Jobs whose deadline has passed, and those that nobody is served by any more.
  */
 void
 dispatch_jobs_due(struct mlk_dispatcher *d)
@@ -461,12 +478,13 @@
 	over = g_ptr_array_new();
 	g_hash_table_iter_init(&iter, d->jobs);
 	while (g_hash_table_iter_next(&iter, NULL, &job)) {
-		if (d->now >= ((struct job *)job)->deadline)
+		if (d->now >= ((struct job *)job)->deadline ||
+		    waited_too_long(d, job))
 			g_ptr_array_add(over, job);
 	}
 	for (i = 0; i < over->len; i++)
-		job_give_up(
-		    d, g_ptr_array_index(over, i), MLK_WORK_LATE, "deadline");
+		job_give_up(d, g_ptr_array_index(over, i), MLK_WORK_LATE,
+		    "no time left");
 	(void)g_ptr_array_free(over, TRUE);
 }
 
--- a/src/dispatch/dispatcher_links.c
+++ b/src/dispatch/dispatcher_links.c
@@ -257,6 +257,8 @@
 		dispatch_worker(d, a, msg);
 	else if (msg->type == MLK_MSG_ENDS)
 		dispatch_ends(d, a, msg);
+	else if (msg->type == MLK_MSG_OFFER)
+		dispatch_offer(d, a, msg);
 	else
 		dispatch_log(d, MLK_LOG_WARNING, NULL, a->id, "unexpected %s",
 		    mlk_msg_name(msg->type));
--- a/src/dispatch/dispatcher_place.c
+++ b/src/dispatch/dispatcher_place.c
@@ -6,6 +6,9 @@
  * without being known for it spoils every job that has a task there.  So the
  * tasks of a job go together to one worker that holds them all, where there is
  * one; among those, to the least loaded.
+ *
+ * While no worker is known to have room, the entry tells the agents what it
+ * wants, and they offer what becomes free to the most urgent entry.
  */
 #include <stdlib.h>
 #include <string.h>
@@ -16,66 +19,50 @@
 #define NEAR_BONUS 80
 /* As much for each task that does not go along, of those that wait. */
 #define SPLIT_COST 300
+#define SICK_COST 2000 /* used after every other */
+#define SICK_PERCENT_MAX 34 /* of the workers are left out as sick */
 #define SCALE 1000
-/*
- * When no worker is known to have room, a task may wait this long at an agent
- * for the next one that ends; at most one of this entry's at a time does.
- */
-#define ROOM_WAIT_MS 60
+/* A task that was moved so often stays where it is. */
+#define MOVES_MAX 3U
 /* Jobs that find no place before the rest of the queue is left for later. */
 #define PLACE_MISSES_MAX 24
+/* A want is repeated after this time; agents forget it after 200 ms. */
+#define WANT_REPEAT_NS (60 * MS)
+#define WANT_GAP_NS (5 * MS) /* between two to the same agent */
+#define WANT_CHANGE_MS 10 /* in urgency, that is told at once */
+#define WANT_AGENTS_MAX 16U /* that are told in one pass */
 
-static gint
-by_deadline(gconstpointer a, gconstpointer b, gpointer data)
-{
-	const struct job *x = a, *y = b;
-
-	(void)data;
-	if (x->deadline != y->deadline)
-		return (x->deadline < y->deadline ? -1 : 1);
-	return (x->handle < y->handle ? -1 : x->handle > y->handle);
-}
-
-/*
- * A task waits for a place.  Its job is in the queue while one of its tasks
- * does, ordered by the time by which its caller needs the answer.
- */
-void
-dispatch_enqueue(struct mlk_dispatcher *d, struct task *task)
+static bool
+usable(const struct mlk_dispatcher *d, const struct agent *a, const char *pool)
 {
-	struct job *job = task->job;
-
-	task->state = TASK_QUEUED;
-	task->agent = NULL;
-	job->nqueued++;
-	d->nqueued++;
-	if (job->place == NULL)
-		job->place =
-		    g_sequence_insert_sorted(d->queue, job, by_deadline, NULL);
-	d->place = true;
+	return (a->link != 0 && a->known &&
+	    (a->info.state == MLK_WORKER_READY ||
+		(a->info.state == MLK_WORKER_SICK && d->use_sick)) &&
+	    strcmp(a->info.pool, pool) == 0);
 }
 
 /*
- * A task leaves the queue; the caller sets its next state.
+ * So many workers are rarely sick by themselves: a change of the load, or of
+ * what callers estimate, makes all of them look so.  Then they are used.
  */
-void
-dispatch_dequeue(struct mlk_dispatcher *d, struct task *task)
+static void
+judge_sickness(struct mlk_dispatcher *d)
 {
-	struct job *job = task->job;
+	uint32_t sick = 0, n = 0;
+	const struct agent *a;
+	guint i;
 
-	job->nqueued--;
-	d->nqueued--;
-	if (job->nqueued == 0) {
-		g_sequence_remove(job->place);
-		job->place = NULL;
+	for (i = 0; i < d->agents->len; i++) {
+		a = g_ptr_array_index(d->agents, i);
+		if (a->link == 0 || !a->known)
+			continue;
+		if (a->info.state == MLK_WORKER_SICK)
+			sick++;
+		if (a->info.state == MLK_WORKER_SICK ||
+		    a->info.state == MLK_WORKER_READY)
+			n++;
 	}
-}
-
-static bool
-usable(const struct agent *a, const char *pool)
-{
-	return (a->link != 0 && a->known && a->info.state == MLK_WORKER_READY &&
-	    strcmp(a->info.pool, pool) == 0);
+	d->use_sick = sick * 100 > n * SICK_PERCENT_MAX;
 }
 
 /*
@@ -87,7 +74,7 @@
 	guint i;
 
 	for (i = 0; i < d->agents->len; i++) {
-		if (usable(g_ptr_array_index(d->agents, i), pool))
+		if (usable(d, g_ptr_array_index(d->agents, i), pool))
 			return (true);
 	}
 	return (false);
@@ -110,20 +97,20 @@
  * its capacity; less is better.
  */
 static uint32_t
-cost(const struct mlk_dispatcher *d, const struct agent *a,
-    const struct mlk_room *free, const struct mlk_room *need, uint32_t fit,
-    uint32_t n)
+cost(const struct agent *a, const struct mlk_room *free,
+    const struct mlk_room *need, uint32_t fit, uint32_t n)
 {
 	uint64_t used, cap;
 	uint32_t c;
 
-	(void)d;
 	cap = MAX(a->info.capacity.cpu, 1);
 	used = cap - MIN(cap, free->cpu) + (uint64_t)fit * need->cpu;
 	c = (uint32_t)(used * SCALE / cap);
 	c += SPLIT_COST * (n - fit) / n;
 	if (!a->near)
 		c += NEAR_BONUS;
+	if (a->info.state == MLK_WORKER_SICK)
+		c += SICK_COST;
 	return (c);
 }
 
@@ -142,13 +129,13 @@
 
 	for (i = 0; i < d->agents->len; i++) {
 		a = g_ptr_array_index(d->agents, i);
-		if (!usable(a, job->pool) || avoided(job, a))
+		if (!usable(d, a, job->pool) || avoided(job, a))
 			continue;
 		free = dispatch_agent_free(a);
 		f = mlk_room_count(&free, need, n);
 		if (f == 0)
 			continue;
-		c = cost(d, a, &free, need, f, n);
+		c = cost(a, &free, need, f, n);
 		ties = c < best_cost ? 1 : ties + (c == best_cost);
 		if (c > best_cost ||
 		    (c == best_cost && mlk_rng_below(&d->rng, ties) != 0))
@@ -160,31 +147,6 @@
 	return (best);
 }
 
-/*
- * Chooses the worker at which a task waits for room: one where none of this
- * entry's waits, with the fewest tasks waiting, then the most at work, whose
- * next end comes soonest.
- */
-static struct agent *
-choose_to_wait(struct mlk_dispatcher *d, const struct job *job,
-    const struct mlk_room *need)
-{
-	struct agent *a, *best = NULL;
-	guint i;
-
-	for (i = 0; i < d->agents->len; i++) {
-		a = g_ptr_array_index(d->agents, i);
-		if (!usable(a, job->pool) || avoided(job, a) ||
-		    a->waiting > 0 || !mlk_room_fits(&a->info.capacity, need))
-			continue;
-		if (best == NULL || a->load.waiting < best->load.waiting ||
-		    (a->load.waiting == best->load.waiting &&
-			a->load.running > best->load.running))
-			best = a;
-	}
-	return (best);
-}
-
 static uint32_t
 left_ms(const struct mlk_dispatcher *d, int64_t at)
 {
@@ -194,56 +156,71 @@
 }
 
 /*
- * Sends n queued tasks of one step of a job to an agent.
+ * Moves n queued tasks of a step into a RUN message.
  */
 static void
-send_run(struct mlk_dispatcher *d, struct job *job, uint32_t step, uint32_t n,
-    struct agent *a, uint32_t wait_ms)
+bind_tasks(struct mlk_dispatcher *d, struct job *job, uint32_t step, uint32_t n,
+    struct agent *a, struct mlk_msg *msg)
 {
 	struct unseen unseen = { 0 };
-	struct mlk_msg *msg;
 	struct task *task;
-	gconstpointer data;
 	uint32_t i;
-	gsize len;
 
-	msg = dispatch_send(d, a->link, MLK_MSG_RUN);
 	msg->u.run.tasks = calloc(n, sizeof(*msg->u.run.tasks));
-	data = g_bytes_get_data(job->spec, &len);
-	if (msg->u.run.tasks == NULL ||
-	    mlk_blob_copy(&msg->u.run.spec, data, len) != 0)
+	if (msg->u.run.tasks == NULL)
 		g_error("out of memory");
-	msg->u.run.sent_at = dispatch_now_ms(d);
-	msg->u.run.seq = ++a->seq;
-	msg->u.run.job = job->handle;
-	(void)g_strlcpy(msg->u.run.id, job->id, sizeof(msg->u.run.id));
-	msg->u.run.step = step;
-	msg->u.run.deadline_ms = left_ms(d, job->deadline);
-	msg->u.run.urgency_ms = msg->u.run.deadline_ms;
-	msg->u.run.wait_ms = wait_ms;
-	msg->u.run.estimate_ms = job->steps[step].estimate_ms;
 	for (i = 0; i < job->ntasks && msg->u.run.n < n; i++) {
 		task = &job->tasks[i];
 		if (task->step != step || task->state != TASK_QUEUED)
 			continue;
 		msg->u.run.tasks[msg->u.run.n].index = task->index;
 		msg->u.run.tasks[msg->u.run.n++].room = job->steps[step].room;
+		if (task->moves >= MOVES_MAX)
+			msg->u.run.movable = 0;
 		mlk_room_add(&unseen.room, &job->steps[step].room);
 		dispatch_dequeue(d, task);
 		task->state = TASK_SENT;
 		task->agent = a;
-		task->waits = wait_ms > 0;
-		task->sends++;
 		job->nsent++;
 		d->nsent++;
 		g_ptr_array_add(a->tasks, task);
 	}
-	if (wait_ms > 0)
-		a->waiting += n;
+	d->counters.tasks_sent += n;
+	/* What takes an offer is not in the free room that the agent told. */
+	if (msg->u.run.offer != 0)
+		return;
 	unseen.seq = a->seq;
 	(void)g_array_append_val(a->unseen, unseen);
+}
+
+/*
+ * Sends n queued tasks of one step of a job to an agent, as the answer to an
+ * offer unless that is 0.
+ */
+static struct mlk_msg *
+send_run(struct mlk_dispatcher *d, struct job *job, uint32_t step, uint32_t n,
+    struct agent *a, uint64_t offer)
+{
+	struct mlk_msg *msg;
+	gconstpointer data;
+	gsize len;
+
+	msg = dispatch_send(d, a->link, MLK_MSG_RUN);
+	data = g_bytes_get_data(job->spec, &len);
+	if (mlk_blob_copy(&msg->u.run.spec, data, len) != 0)
+		g_error("out of memory");
+	msg->u.run.sent_at = dispatch_now_ms(d);
+	msg->u.run.seq = ++a->seq;
+	msg->u.run.job = job->handle;
+	(void)g_strlcpy(msg->u.run.id, job->id, sizeof(msg->u.run.id));
+	msg->u.run.step = step;
+	msg->u.run.deadline_ms = left_ms(d, job->deadline);
+	msg->u.run.offer = offer;
+	msg->u.run.movable = !d->use_sick;
+	msg->u.run.expected_ms = dispatch_pace_expected(d, job, step);
+	bind_tasks(d, job, step, n, a, msg);
 	a->sent = d->now;
-	d->counters.tasks_sent += n;
+	return (msg);
 }
 
 static uint32_t
@@ -263,7 +240,7 @@
  * Places what it can of a job.  Returns false when a task found no place.
  */
 static bool
-place_job(struct mlk_dispatcher *d, struct job *job, bool may_wait)
+place_job(struct mlk_dispatcher *d, struct job *job)
 {
 	struct agent *a;
 	uint32_t step, n, fit = 0;
@@ -271,38 +248,151 @@
 	for (step = 0; step < job->nsteps; step++) {
 		while ((n = queued_in_step(job, step)) > 0) {
 			a = choose(d, job, &job->steps[step].room, n, &fit);
-			if (a != NULL) {
-				send_run(d, job, step, fit, a, 0);
-				continue;
-			}
-			if (!may_wait)
-				return (false);
-			a = choose_to_wait(d, job, &job->steps[step].room);
 			if (a == NULL)
 				return (false);
-			send_run(d, job, step, 1, a, ROOM_WAIT_MS);
+			(void)send_run(d, job, step, fit, a, 0);
 		}
 	}
 	return (true);
 }
 
+static void
+note_want(
+    struct mlk_dispatcher *d, struct agent *a, const struct mlk_want *want)
+{
+	a->want_at = d->now;
+	a->want_tasks = want->tasks;
+	a->want_start = d->now + want->urgency_ms * MS;
+}
+
 /*
- * Places what waits, the most urgent job first.
+ * Tells whether an agent is to be told what is wanted.
+ */
+static bool
+want_due(const struct mlk_dispatcher *d, const struct agent *a,
+    const struct mlk_want *want)
+{
+	int64_t since = d->now - a->want_at;
+
+	if (since < WANT_GAP_NS)
+		return (false);
+	return (since >= WANT_REPEAT_NS || a->want_tasks == 0 ||
+	    d->now + want->urgency_ms * MS <
+		a->want_start - WANT_CHANGE_MS * MS);
+}
+
+/*
+ * Tells the agents what has found no place.  In a large pool some of them are
+ * told in turn: enough to get the room that is needed, and no more messages
+ * for more workers.
+ */
+static void
+send_wants(struct mlk_dispatcher *d, const GPtrArray *order)
+{
+	struct mlk_want want;
+	struct mlk_msg *msg;
+	struct agent *a;
+	uint32_t told = 0;
+	guint i;
+
+	for (i = 0; i < d->agents->len && told < WANT_AGENTS_MAX; i++) {
+		a = g_ptr_array_index(
+		    d->agents, (d->want_turn + i) % d->agents->len);
+		if (a->link == 0 || !usable(d, a, a->info.pool))
+			continue;
+		dispatch_queue_want(d, order, a->info.pool, &want);
+		if (want.tasks == 0 || !want_due(d, a, &want))
+			continue;
+		msg = dispatch_send(d, a->link, MLK_MSG_WANT);
+		msg->u.want.sent_at = dispatch_now_ms(d);
+		msg->u.want.want = want;
+		note_want(d, a, &want);
+		a->sent = d->now;
+		d->counters.wants++;
+		told++;
+	}
+	if (told == WANT_AGENTS_MAX)
+		d->want_turn += i;
+}
+
+/*
+ * Places what waits, the most urgent first, and asks for room for the rest.
  */
 void
 dispatch_place(struct mlk_dispatcher *d)
 {
-	GSequenceIter *iter, *next;
 	uint32_t misses = 0;
+	GPtrArray *order;
+	guint i;
 
-	if (!d->place)
+	if (!d->place || d->nqueued == 0)
 		return;
 	d->place = false;
-	iter = g_sequence_get_begin_iter(d->queue);
-	while (!g_sequence_iter_is_end(iter) && misses < PLACE_MISSES_MAX) {
-		next = g_sequence_iter_next(iter);
-		if (!place_job(d, g_sequence_get(iter), misses == 0))
+	judge_sickness(d);
+	order = dispatch_queue_order(d);
+	for (i = 0; i < order->len && misses < PLACE_MISSES_MAX; i++) {
+		if (!place_job(d, g_ptr_array_index(order, i)))
 			misses++;
-		iter = next;
 	}
+	if (misses > 0)
+		send_wants(d, order);
+	(void)g_ptr_array_free(order, TRUE);
+}
+
+/*
+ * Returns the first step of a job with a queued task that fits; *n is how many
+ * do.  Returns nsteps when there is none.
+ */
+static uint32_t
+step_that_fits(const struct job *job, const struct mlk_room *room, uint32_t *n)
+{
+	uint32_t step;
+
+	for (step = 0; step < job->nsteps; step++) {
+		*n = mlk_room_count(
+		    room, &job->steps[step].room, queued_in_step(job, step));
+		if (*n > 0)
+			break;
+	}
+	return (step);
+}
+
+/*
+ * An agent offers room: the most urgent task that fits takes it.
+ */
+void
+dispatch_offer(
+    struct mlk_dispatcher *d, struct agent *a, const struct mlk_msg *msg)
+{
+	struct mlk_msg *reply = NULL;
+	struct mlk_want want;
+	uint32_t step, n = 0;
+	GPtrArray *order;
+	struct job *job;
+	guint i;
+
+	order = dispatch_queue_order(d);
+	for (i = 0; i < order->len && reply == NULL; i++) {
+		job = g_ptr_array_index(order, i);
+		if (!usable(d, a, job->pool) || avoided(job, a))
+			continue;
+		step = step_that_fits(job, &msg->u.offer.room, &n);
+		if (step < job->nsteps)
+			reply =
+			    send_run(d, job, step, n, a, msg->u.offer.offer);
+	}
+	dispatch_queue_want(d, order, a->info.pool, &want);
+	if (reply != NULL) {
+		d->counters.offers_taken++;
+		reply->u.run.want = want;
+	} else {
+		d->counters.offers_passed++;
+		reply = dispatch_send(d, a->link, MLK_MSG_WANT);
+		reply->u.want.sent_at = dispatch_now_ms(d);
+		reply->u.want.offer = msg->u.offer.offer;
+		reply->u.want.want = want;
+		a->sent = d->now;
+	}
+	note_want(d, a, &want);
+	(void)g_ptr_array_free(order, TRUE);
 }
--- a/src/dispatch/dispatcher_priv.h
+++ b/src/dispatch/dispatcher_priv.h
@@ -95,7 +95,9 @@
 	int64_t sent;
 	struct mlk_skew skew;
 	GPtrArray *tasks; /* in flight here, or detached */
-	uint32_t waiting; /* of them, sent to wait for room */
+	int64_t want_at; /* what is wanted was told last */
+	uint32_t want_tasks; /* as told */
+	int64_t want_start; /* its urgency as a time, as told */
 	int64_t detached_until; /* its tasks are over then; 0: attached */
 };
 
@@ -113,9 +115,14 @@
 	uint32_t index;
 	enum task_state state;
 	struct agent *agent; /* SENT, DETACHED */
-	bool waits; /* SENT to wait for room */
 	uint32_t failures;
-	uint32_t sends;
+	uint32_t moves; /* away from sick workers */
+};
+
+/* What is known of the run times of a route's tasks. */
+struct pace {
+	uint32_t n; /* runs, up to PACE_RUNS */
+	double log_ratio; /* mean of log2(run time / caller's estimate) */
 };
 
 struct job {
@@ -125,10 +132,13 @@
 	uint64_t requests[REQUESTS_MAX];
 	uint32_t nrequests;
 	char pool[MLK_NAME_MAX];
+	char route[MLK_NAME_MAX];
 	uint32_t priority;
 	uint32_t attempts;
 	int64_t arrived;
 	int64_t deadline;
+	int64_t goal_ns; /* response time that the route aims at */
+	int64_t start_by; /* to meet the goal; orders the queue */
 	GBytes *spec;
 	uint32_t nsteps;
 	struct mlk_step *steps;
@@ -160,10 +170,13 @@
 	GHashTable *by_id; /* id -> struct job */
 	GHashTable *by_request; /* request -> struct job */
 	uint64_t last_job;
+	GHashTable *paces; /* route name -> struct pace */
 	GSequence *queue; /* struct job with queued tasks, most urgent first */
 	uint32_t nqueued; /* tasks */
 	uint32_t nsent;
 	bool place; /* room or queue has changed */
+	uint32_t want_turn; /* first agent to be told what is wanted */
+	bool use_sick; /* too many workers are sick to leave them out */
 	bool stopping;
 	int64_t stop_since;
 	bool exited;
@@ -179,19 +192,34 @@
 void dispatch_submit(
     struct mlk_dispatcher *d, const struct mlk_dispatch_event *ev);
 void dispatch_gone(struct mlk_dispatcher *d, uint64_t request);
-void dispatch_task_ended(
-    struct mlk_dispatcher *d, struct task *task, enum mlk_run_end end);
+void dispatch_task_ended(struct mlk_dispatcher *d, struct task *task,
+    enum mlk_run_end end, uint32_t run_ms);
 void dispatch_task_detach(struct mlk_dispatcher *d, struct task *task);
 void dispatch_jobs_due(struct mlk_dispatcher *d);
 void dispatch_jobs_end(struct mlk_dispatcher *d);
 void dispatch_job_free(gpointer data);
 
-/* dispatcher_place.c */
+/* dispatcher_queue.c */
 void dispatch_enqueue(struct mlk_dispatcher *d, struct task *task);
 void dispatch_dequeue(struct mlk_dispatcher *d, struct task *task);
+GPtrArray *dispatch_queue_order(const struct mlk_dispatcher *d);
+void dispatch_queue_want(const struct mlk_dispatcher *d, const GPtrArray *order,
+    const char *pool, struct mlk_want *want);
+
+/* dispatcher_place.c */
 void dispatch_place(struct mlk_dispatcher *d);
+void dispatch_offer(
+    struct mlk_dispatcher *d, struct agent *a, const struct mlk_msg *msg);
 bool dispatch_pool_ready(const struct mlk_dispatcher *d, const char *pool);
 
+/* dispatcher_pace.c */
+int64_t dispatch_goal_ns(struct mlk_dispatcher *d, const struct job *job,
+    uint32_t target_ms, uint32_t stretch, int64_t *work_ns);
+void dispatch_pace_note(struct mlk_dispatcher *d, const struct job *job,
+    uint32_t step, uint32_t run_ms);
+uint32_t dispatch_pace_expected(
+    struct mlk_dispatcher *d, const struct job *job, uint32_t step);
+
 /* dispatcher_agents.c */
 void dispatch_attach(
     struct mlk_dispatcher *d, struct link *link, const struct mlk_msg *msg);
--- a/src/dispatch/runner.c
+++ b/src/dispatch/runner.c
@@ -59,6 +59,7 @@
 	r->state = MLK_WORKER_AWAY;
 	r->entries = g_ptr_array_new_with_free_func(runner_entry_free);
 	r->runs = g_ptr_array_new();
+	r->offers = g_array_new(FALSE, FALSE, sizeof(struct offer));
 	r->by_name = g_hash_table_new(name_hash, name_equal);
 	r->orders =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
@@ -83,6 +84,7 @@
 	g_hash_table_destroy(r->orders);
 	g_hash_table_destroy(r->by_name);
 	g_ptr_array_free(r->runs, TRUE);
+	(void)g_array_free(r->offers, TRUE);
 	g_ptr_array_free(r->entries, TRUE);
 	g_free(r);
 }
@@ -112,7 +114,17 @@
 }
 
 /*
- * Returns what the worker has left beside the runs that hold room.
+ * Tells whether the worker gets one run at a time.
+ */
+bool
+runner_on_trial(const struct mlk_runner *r)
+{
+	return (r->health.state == HEALTH_TRIAL);
+}
+
+/*
+ * Returns what the worker has left beside the runs that hold room and what is
+ * offered.
  */
 struct mlk_room
 runner_free(const struct mlk_runner *r)
@@ -120,6 +132,7 @@
 	struct mlk_room free = r->worker.info.capacity;
 
 	mlk_room_take(&free, &r->reserved);
+	mlk_room_take(&free, &r->offered);
 	return (free);
 }
 
@@ -136,7 +149,18 @@
 		return (MLK_WORKER_AWAY);
 	if (r->stopping || w->info.state != MLK_WORKER_READY)
 		return (MLK_WORKER_DRAINING);
-	return (MLK_WORKER_READY);
+	return (r->health.state == HEALTH_SICK ? MLK_WORKER_SICK :
+						 MLK_WORKER_READY);
+}
+
+/*
+ * Tells whether tasks are started.  Those for a sick worker are: an entry sends
+ * them only when too many workers are sick to do without.
+ */
+bool
+runner_takes_work(const struct mlk_runner *r)
+{
+	return (r->state == MLK_WORKER_READY || r->state == MLK_WORKER_SICK);
 }
 
 /*
@@ -149,8 +173,8 @@
 		return;
 	r->stopping = true;
 	r->stop_at = r->now + (int64_t)r->options.grace_ms * MS;
-	runner_log(r, MLK_LOG_NOTICE, NULL,
-	    "planned stop: %u runs at work, %u wait", r->nactive, r->nwaiting);
+	runner_log(r, MLK_LOG_NOTICE, NULL, "planned stop: %u runs at work",
+	    r->nactive);
 }
 
 /*
@@ -230,10 +254,11 @@
 	if (r->created == 0)
 		r->created = ev->now;
 	take_event(r, ev);
+	runner_health_due(r);
 	runner_worker_due(r);
 	runner_links_due(r);
-	runner_runs_start(r);
 	runner_runs_due(r);
+	runner_offers_due(r);
 	runner_list_due(r);
 	stop_due(r);
 	runner_links_flush(r);
@@ -261,7 +286,6 @@
 	}
 	out->ready = r->state == MLK_WORKER_READY && out->entries > 0;
 	out->running = r->nactive;
-	out->waiting = r->nwaiting;
 	out->capacity = r->worker.info.capacity;
 	out->free = runner_free(r);
 	out->fence = r->worker.fence;
--- /dev/null
+++ b/src/dispatch/runner_health.c
@@ -0,0 +1,123 @@
+/*
+ * What the runner does about a sick worker: its runs are stopped, which the
+ * worker confirms, so that they can start elsewhere.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "runner_priv.h"
+
+/*
+ * A run is moved when the rest of it here would take longer than this share of
+ * a whole run elsewhere, in percent.
+ */
+#define MOVE_PERCENT 120
+
+static const char *
+cause_name(enum health_cause cause)
+{
+	switch (cause) {
+	case HEALTH_NONE:
+		break;
+	case HEALTH_STILL:
+		return ("its runs stand still");
+	case HEALTH_SLOW:
+		return ("its runs are slow");
+	case HEALTH_FAILS:
+		return ("it fails what it starts");
+	}
+	return ("none");
+}
+
+static bool
+gains_by_move(const struct run *run, enum health_cause cause)
+{
+	if (!run->movable || run->state != RUN_ACTIVE)
+		return (false);
+	return (cause != HEALTH_SLOW ||
+	    (uint64_t)health_run_left_ms(&run->health) * 100 >
+		(uint64_t)run->expected_ms * MOVE_PERCENT);
+}
+
+static void
+fell_sick(struct mlk_runner *r, enum health_cause cause)
+{
+	struct run *run;
+	uint32_t n = 0;
+	guint i;
+
+	for (i = r->runs->len; i > 0; i--) {
+		run = g_ptr_array_index(r->runs, i - 1);
+		if (!gains_by_move(run, cause))
+			continue;
+		runner_run_stop(r, run, MLK_RUN_STALLED);
+		n++;
+	}
+	r->counters.sick++;
+	runner_log(r, MLK_LOG_NOTICE, NULL,
+	    "the worker is sick: %s; %u of %u runs are moved, no work for "
+	    "%" PRId64 " ms",
+	    cause_name(cause), n, r->nactive, (r->health.until - r->now) / MS);
+}
+
+/*
+ * Judges the worker after a listing, and stops single runs that stand still.
+ */
+void
+runner_health_judge(struct mlk_runner *r)
+{
+	const struct health_run **runs;
+	enum health_state before = r->health.state;
+	enum health_cause cause;
+	struct run *run;
+	uint32_t n = 0;
+	guint i;
+
+	if (r->nactive == 0)
+		return;
+	runs = g_new(const struct health_run *, r->runs->len);
+	for (i = 0; i < r->runs->len; i++) {
+		run = g_ptr_array_index(r->runs, i);
+		if (run->state == RUN_ACTIVE)
+			runs[n++] = &run->health;
+	}
+	cause = health_judge(&r->health, runs, n, r->now);
+	g_free(runs);
+	if (cause != HEALTH_NONE) {
+		fell_sick(r, cause);
+		return;
+	}
+	if (before == HEALTH_TRIAL && r->health.state == HEALTH_FIT)
+		runner_log(r, MLK_LOG_NOTICE, NULL, "the worker is fit again");
+	for (i = r->runs->len; i > 0; i--) {
+		run = g_ptr_array_index(r->runs, i - 1);
+		if (run->state == RUN_ACTIVE && run->movable &&
+		    health_run_stalled(&run->health, r->now))
+			runner_run_stop(r, run, MLK_RUN_STALLED);
+	}
+}
+
+/*
+ * Takes note of how a run ended by itself.
+ */
+void
+runner_health_ended(
+    struct mlk_runner *r, const struct run *run, enum mlk_run_end end)
+{
+	enum health_cause cause;
+
+	if (end != MLK_RUN_DONE && end != MLK_RUN_FAILED)
+		return;
+	cause = health_ended(
+	    &r->health, runner_job_key(run), end == MLK_RUN_FAILED, r->now);
+	if (cause != HEALTH_NONE)
+		fell_sick(r, cause);
+}
+
+void
+runner_health_due(struct mlk_runner *r)
+{
+	if (health_due(&r->health, r->now))
+		runner_log(r, MLK_LOG_NOTICE, NULL,
+		    "the worker is tried again with one run at a time");
+}
--- a/src/dispatch/runner_links.c
+++ b/src/dispatch/runner_links.c
@@ -7,6 +7,8 @@
 
 #include "runner_priv.h"
 
+#define TRIAL_PART 8 /* of the capacity is offered while on trial */
+
 void
 runner_entry_free(gpointer data)
 {
@@ -16,8 +18,8 @@
 	g_free(e);
 }
 
-static uint64_t
-now_ms(const struct mlk_runner *r)
+uint64_t
+runner_now_ms(const struct mlk_runner *r)
 {
 	return ((uint64_t)(r->now / MS));
 }
@@ -65,8 +67,11 @@
 	return (NULL);
 }
 
-static struct mlk_msg *
-send_msg(struct mlk_runner *r, struct entry *e, enum mlk_msg_type type)
+/*
+ * Appends a message to be sent; the caller fills it at once.
+ */
+struct mlk_msg *
+runner_send(struct mlk_runner *r, struct entry *e, enum mlk_msg_type type)
 {
 	struct mlk_runner_effect *fx;
 
@@ -106,6 +111,8 @@
 	e->attached = false;
 	e->report = false;
 	(void)g_array_set_size(e->ends, 0);
+	e->want.tasks = 0;
+	runner_offers_forget(r, e);
 	e->reached_at = r->now;
 	e->retry_at = r->now + CONNECT_RETRY_NS;
 	e->retry_ns = CONNECT_RETRY_NS;
@@ -178,7 +185,7 @@
 {
 	int64_t age, heard;
 
-	age = mlk_skew_age(&e->skew, (int64_t)now_ms(r), sent_at);
+	age = mlk_skew_age(&e->skew, (int64_t)runner_now_ms(r), sent_at);
 	heard = r->now - age * MS;
 	e->heard = MAX(e->heard, heard);
 	return (age);
@@ -194,7 +201,9 @@
 
 	age = note_sent_at(r, e, msg->u.run.sent_at);
 	e->seen = msg->u.run.seq;
-	if (r->state == MLK_WORKER_READY && age <= STALE_RUN_MS) {
+	runner_offer_end(r, msg->u.run.offer);
+	runner_offer_want(r, e, &msg->u.run.want);
+	if (runner_takes_work(r) && age <= STALE_RUN_MS) {
 		spec = g_bytes_new(msg->u.run.spec.data, msg->u.run.spec.len);
 		for (i = 0; i < msg->u.run.n; i++)
 			runner_run_add(r, e, msg, &msg->u.run.tasks[i], spec);
@@ -252,6 +261,11 @@
 	case MLK_MSG_RUN:
 		on_run(r, e, msg);
 		break;
+	case MLK_MSG_WANT:
+		(void)note_sent_at(r, e, msg->u.want.sent_at);
+		runner_offer_end(r, msg->u.want.offer);
+		runner_offer_want(r, e, &msg->u.want.want);
+		break;
 	case MLK_MSG_DROP:
 		on_drop(r, e, msg);
 		break;
@@ -278,7 +292,7 @@
 {
 	struct mlk_msg *msg;
 
-	msg = send_msg(r, e, MLK_MSG_ATTACH);
+	msg = runner_send(r, e, MLK_MSG_ATTACH);
 	(void)g_strlcpy(
 	    msg->u.attach.id, r->options.id, sizeof(msg->u.attach.id));
 	(void)g_strlcpy(
@@ -350,20 +364,26 @@
 	}
 }
 
+/*
+ * While the worker is on trial, offers as much as one task may need.
+ */
 static void
-fill_load(const struct mlk_runner *r, struct mlk_worker_load *load)
+limit_to_trial(const struct mlk_runner *r, struct mlk_room *free)
 {
-	const struct run *run;
-	guint i;
+	uint32_t part = r->worker.info.capacity.cpu / TRIAL_PART;
+
+	if (r->nactive > 0)
+		part = 0;
+	free->cpu = MIN(free->cpu, part);
+}
 
+static void
+fill_load(const struct mlk_runner *r, struct mlk_worker_load *load)
+{
 	load->free = runner_free(r);
+	if (runner_on_trial(r))
+		limit_to_trial(r, &load->free);
 	load->running = r->nactive;
-	load->waiting = r->nwaiting;
-	for (i = 0; r->nwaiting > 0 && i < r->runs->len; i++) {
-		run = g_ptr_array_index(r->runs, i);
-		if (run->state == RUN_WAITING)
-			mlk_room_take(&load->free, &run->room);
-	}
 }
 
 static void
@@ -373,8 +393,8 @@
 	struct mlk_msg *msg;
 	size_t size;
 
-	msg = send_msg(r, e, MLK_MSG_ENDS);
-	msg->u.ends.sent_at = now_ms(r);
+	msg = runner_send(r, e, MLK_MSG_ENDS);
+	msg->u.ends.sent_at = runner_now_ms(r);
 	msg->u.ends.seen = e->seen;
 	msg->u.ends.load = *load;
 	size = e->ends->len * sizeof(struct mlk_run_result);
@@ -393,8 +413,8 @@
 {
 	struct mlk_msg *msg;
 
-	msg = send_msg(r, e, MLK_MSG_WORKER);
-	msg->u.worker.sent_at = now_ms(r);
+	msg = runner_send(r, e, MLK_MSG_WORKER);
+	msg->u.worker.sent_at = runner_now_ms(r);
 	msg->u.worker.seen = e->seen;
 	msg->u.worker.info = r->worker.info;
 	msg->u.worker.info.state = r->state;
--- a/src/dispatch/runner_listing.c
+++ b/src/dispatch/runner_listing.c
@@ -40,8 +40,7 @@
 			continue;
 		r->worker.acked = end->number;
 		run = runner_run_find(r, &end->name);
-		if (run == NULL || run->state == RUN_WAITING ||
-		    run->name.run != end->name.run)
+		if (run == NULL || run->name.run != end->name.run)
 			continue;
 		if (run->confirmed_at == 0)
 			run->confirmed_at = r->now;
@@ -65,18 +64,14 @@
 	for (i = 0; i < ev->u.order.nrunning; i++) {
 		listed = &ev->u.order.running[i];
 		run = runner_run_find(r, &listed->name);
-		if (run == NULL || run->state == RUN_WAITING ||
-		    run->name.run != listed->name.run) {
+		if (run == NULL || run->name.run != listed->name.run) {
 			foreign = true;
 			runner_order_stop_foreign(r, &listed->name);
 			continue;
 		}
 		run->listed = r->list_number;
 		runner_run_confirmed(r, run);
-		if (listed->percent > run->percent) {
-			run->percent = listed->percent;
-			run->progress_at = r->now;
-		}
+		health_run_progress(&run->health, listed->percent, r->now);
 	}
 	return (foreign);
 }
@@ -143,6 +138,7 @@
 	if (ev->u.order.nended < LISTED_ENDS_MAX)
 		take_missing(r, order);
 	w->list_after = foreign ? r->now + LIST_RETRY_NS : r->now;
+	runner_health_judge(r);
 	if (foreign)
 		w->cleared = false;
 	if (order->fence != w->fence)
@@ -170,6 +166,26 @@
 	return (r->now >= w->list_after + IDLE_LIST_NS);
 }
 
+/*
+ * Returns the slot for one more listing, or LISTS_MAX when none is due beside
+ * those under way.
+ */
+static uint32_t
+free_slot(const struct mlk_runner *r)
+{
+	uint32_t i, slot = LISTS_MAX, busy = 0;
+
+	for (i = LISTS_MAX; i > 0; i--) {
+		if (r->worker.lists[i - 1] == 0)
+			slot = i - 1;
+		else
+			busy++;
+	}
+	if (busy > 0 && r->now - r->worker.list_sent_at < LIST_HEDGE_NS)
+		return (LISTS_MAX);
+	return (slot);
+}
+
 /*
  * Sends the listings that are due: one that settles the present fence, and
  * one that waits for the next end.
@@ -178,17 +194,22 @@
 runner_list_due(struct mlk_runner *r)
 {
 	struct worker *w = &r->worker;
+	uint32_t slot;
 	bool away;
 
 	if (!w->known || w->left_at != 0)
 		return;
 	away = runner_away(r);
-	if (w->settle && w->settle_list == 0 && r->now >= w->list_after) {
-		runner_order_list(r, true, 0);
+	/* On a new connection too when the old ones may have gone silent. */
+	if ((w->settle || away) && w->settle_list == 0 &&
+	    r->now >= w->list_after) {
+		runner_order_settle(r);
 		w->list_after = r->now + (away ? PROBE_NS : LIST_RETRY_NS);
 	}
-	if (w->settle || w->list != 0 || away || !list_wanted(r))
+	if (w->settle || away || !list_wanted(r))
 		return;
-	runner_order_list(
-	    r, false, r->nactive > 0 && w->cleared ? LIST_WAIT_MS : 0);
+	slot = free_slot(r);
+	if (slot < LISTS_MAX)
+		runner_order_list(
+		    r, slot, r->nactive > 0 && w->cleared ? LIST_WAIT_MS : 0);
 }
--- /dev/null
+++ b/src/dispatch/runner_offers.c
@@ -0,0 +1,151 @@
+/*
+ * Room for entries that have none: a task is bound to a worker only when that
+ * worker has room for it.
+ *
+ * The load that it answers: a crest at which every worker is full and each
+ * entry has work waiting.  An entry tells by WANT how urgent its most urgent
+ * task is.  When a run ends, its room is offered to the most urgent entry and
+ * kept for the time of an answer.  Were tasks to wait at the workers instead, a
+ * job of eight would wait for the slowest of eight next ends.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "runner_priv.h"
+
+/* A round trip takes 2 to 7 ms; an entry of 0.12 cores may be late itself. */
+#define OFFER_NS (40 * MS)
+/* Entries repeat what they want every 60 ms. */
+#define WANT_NS (200 * MS)
+
+/*
+ * Takes note of what an entry wants.
+ */
+void
+runner_offer_want(
+    struct mlk_runner *r, struct entry *e, const struct mlk_want *want)
+{
+	e->want = *want;
+	e->want_at = r->now + (int64_t)want->urgency_ms * MS;
+	e->want_until = r->now + WANT_NS;
+}
+
+static void
+remove_at(struct mlk_runner *r, guint i)
+{
+	struct offer *offer = &g_array_index(r->offers, struct offer, i);
+
+	mlk_room_take(&r->offered, &offer->room);
+	(void)g_array_remove_index_fast(r->offers, i);
+}
+
+/*
+ * An offer was answered; one that has lapsed is not found.
+ */
+void
+runner_offer_end(struct mlk_runner *r, uint64_t id)
+{
+	guint i;
+
+	for (i = 0; id != 0 && i < r->offers->len; i++) {
+		if (g_array_index(r->offers, struct offer, i).id == id) {
+			remove_at(r, i);
+			return;
+		}
+	}
+}
+
+/*
+ * An entry is gone.
+ */
+void
+runner_offers_forget(struct mlk_runner *r, const struct entry *e)
+{
+	guint i;
+
+	for (i = r->offers->len; i > 0; i--) {
+		if (g_array_index(r->offers, struct offer, i - 1).entry == e)
+			remove_at(r, i - 1);
+	}
+}
+
+static void
+lapse(struct mlk_runner *r)
+{
+	struct offer *offer;
+	guint i;
+
+	for (i = r->offers->len; i > 0; i--) {
+		offer = &g_array_index(r->offers, struct offer, i - 1);
+		if (r->now < offer->until)
+			continue;
+		r->counters.offers_lapsed++;
+		offer->entry->want.tasks = 0;
+		remove_at(r, i - 1);
+	}
+}
+
+/*
+ * Returns the entry with the most urgent want that fits, or NULL.
+ */
+static struct entry *
+choose(struct mlk_runner *r, const struct mlk_room *free)
+{
+	struct entry *e, *best = NULL;
+	guint i;
+
+	for (i = 0; i < r->entries->len; i++) {
+		e = g_ptr_array_index(r->entries, i);
+		if (!e->attached || e->want.tasks == 0 ||
+		    r->now >= e->want_until ||
+		    !mlk_room_fits(free, &e->want.room))
+			continue;
+		if (best == NULL || e->want_at < best->want_at)
+			best = e;
+	}
+	return (best);
+}
+
+static void
+make_offer(struct mlk_runner *r, struct entry *e, const struct mlk_room *free)
+{
+	struct offer offer = { 0 };
+	struct mlk_msg *msg;
+	uint32_t i, n;
+
+	n = mlk_room_count(free, &e->want.room, e->want.tasks);
+	for (i = 0; i < n; i++)
+		mlk_room_add(&offer.room, &e->want.room);
+	offer.id = ++r->last_offer;
+	offer.entry = e;
+	offer.until = r->now + OFFER_NS;
+	(void)g_array_append_val(r->offers, offer);
+	mlk_room_add(&r->offered, &offer.room);
+	e->want.tasks -= n;
+	msg = runner_send(r, e, MLK_MSG_OFFER);
+	msg->u.offer.sent_at = runner_now_ms(r);
+	msg->u.offer.offer = offer.id;
+	msg->u.offer.room = offer.room;
+	r->counters.offers++;
+}
+
+/*
+ * Offers the room that is free to the entries that want it.
+ */
+void
+runner_offers_due(struct mlk_runner *r)
+{
+	struct mlk_room free;
+	struct entry *e;
+
+	lapse(r);
+	if (r->state != MLK_WORKER_READY || runner_on_trial(r))
+		return;
+	for (;;) {
+		free = runner_free(r);
+		e = choose(r, &free);
+		if (e == NULL)
+			return;
+		make_offer(r, e, &free);
+	}
+}
--- a/src/dispatch/runner_orders.c
+++ b/src/dispatch/runner_orders.c
@@ -109,8 +109,8 @@
 /*
  * Asks what runs and what has ended, and renews the lease of all runs.
  */
-void
-runner_order_list(struct mlk_runner *r, bool settle, uint32_t wait_ms)
+static struct mlk_order *
+list_push(struct mlk_runner *r, uint32_t wait_ms)
 {
 	struct mlk_order *order;
 	struct order *sent;
@@ -121,14 +121,34 @@
 	sent->ack = order->ack;
 	order->wait_ms = wait_ms;
 	order->timeout_ms = wait_ms + ORDER_TIMEOUT_MS;
-	order->fresh = settle;
 	if (r->nactive > 0 && !runner_away(r) && !withholds_lease(r))
 		order->lease_until_ms = runner_lease_until(r);
-	if (settle)
-		r->worker.settle_list = order->order;
-	else
-		r->worker.list = order->order;
 	r->counters.lists++;
+	return (order);
+}
+
+/*
+ * The listing that settles the present fence.
+ */
+void
+runner_order_settle(struct mlk_runner *r)
+{
+	struct mlk_order *order;
+
+	order = list_push(r, 0);
+	order->fresh = true;
+	r->worker.settle_list = order->order;
+}
+
+void
+runner_order_list(struct mlk_runner *r, uint32_t slot, uint32_t wait_ms)
+{
+	struct mlk_order *order;
+
+	order = list_push(r, wait_ms);
+	order->channel = slot;
+	r->worker.lists[slot] = order->order;
+	r->worker.list_sent_at = r->now;
 }
 
 /*
@@ -262,12 +282,11 @@
 
 	if (!was_answered(result)) {
 		runner_unanswered(r, result == MLK_ORDER_UNREACHED);
+		/* A listing or a stop may be carried out late: no harm. */
 		if (result == MLK_ORDER_NO_ANSWER &&
+		    order->type == MLK_ORDER_START &&
 		    order->fence == r->worker.fence)
-			runner_fence_raise(r,
-			    order->type == MLK_ORDER_LIST ?
-				"a listing got no answer" :
-				"an order got no answer");
+			runner_fence_raise(r, "a start got no answer");
 		return;
 	}
 	runner_answered(r);
@@ -283,6 +302,25 @@
 	}
 }
 
+static void
+list_ended(struct mlk_runner *r, const struct mlk_runner_event *ev,
+    const struct order *order)
+{
+	uint32_t i;
+
+	for (i = 0; i < LISTS_MAX; i++) {
+		if (r->worker.lists[i] == order->id)
+			r->worker.lists[i] = 0;
+	}
+	if (r->worker.settle_list == order->id)
+		r->worker.settle_list = 0;
+	if (ev->u.order.result == MLK_ORDER_OK)
+		runner_listed(r, ev, order);
+	else if (ev->u.order.result != MLK_ORDER_NO_ANSWER)
+		r->worker.list_after =
+		    MAX(r->worker.list_after, r->now + LIST_RETRY_NS);
+}
+
 /*
  * Handles the end of an order.
  */
@@ -302,15 +340,7 @@
 	if (run != NULL && run->order == order->id)
 		run->order = 0;
 	if (order->type == MLK_ORDER_LIST) {
-		if (r->worker.list == order->id)
-			r->worker.list = 0;
-		if (r->worker.settle_list == order->id)
-			r->worker.settle_list = 0;
-		if (ev->u.order.result == MLK_ORDER_OK)
-			runner_listed(r, ev, order);
-		else if (ev->u.order.result != MLK_ORDER_NO_ANSWER)
-			r->worker.list_after =
-			    MAX(r->worker.list_after, r->now + LIST_RETRY_NS);
+		list_ended(r, ev, order);
 	} else if (order->type == MLK_ORDER_STOP) {
 		stop_ended(r, ev);
 	} else if (run != NULL && run->state == RUN_STARTING) {
--- a/src/dispatch/runner_priv.h
+++ b/src/dispatch/runner_priv.h
@@ -16,6 +16,7 @@
 #include <monsoonlock/dispatch.h>
 
 #include "effects.h"
+#include "health.h"
 #include "skew.h"
 
 #define MS ((int64_t)MLK_NSEC_PER_MSEC)
@@ -27,7 +28,13 @@
  * takes about 1 ms; an agent with 0.15 of a core may be some tens of ms late
  * itself.
  */
-#define ORDER_TIMEOUT_MS 80
+#define ORDER_TIMEOUT_MS 50
+/*
+ * A listing that waits so long gets a second one beside it.  Were it lost, no
+ * end would be seen and no room freed until it times out.
+ */
+#define LIST_HEDGE_NS (30 * MS)
+#define LISTS_MAX 2
 /* From the worker's last word to the end of all that it runs. */
 #define LEFT_NS (100 * MS)
 #define LIST_WAIT_MS 100 /* bounds the age of what is known of progress */
@@ -54,7 +61,6 @@
 #define ENTRY_FORGET_NS (60000 * MS)
 
 enum run_state {
-	RUN_WAITING, /* for room; -> STARTING, or ended BUSY or REFUSED */
 	RUN_STARTING, /* start sent; -> ACTIVE, DOUBT, or ended not run */
 	RUN_DOUBT, /* no answer to the start; -> ACTIVE, STARTING, or ended */
 	RUN_ACTIVE, /* -> STOPPING, or ended */
@@ -77,6 +83,9 @@
 	uint64_t seen; /* seq of its last RUN */
 	uint32_t nruns; /* in the table */
 	GArray *ends; /* struct mlk_run_result, to be sent */
+	struct mlk_want want;
+	int64_t want_at; /* its urgency as a time */
+	int64_t want_until; /* it is out of date then */
 	bool report; /* a WORKER is due at once */
 	struct mlk_worker_load reported;
 };
@@ -88,10 +97,10 @@
 	struct mlk_run_name name;
 	struct mlk_room room;
 	GBytes *spec;
-	uint32_t estimate_ms;
+	uint32_t expected_ms;
+	bool movable; /* may be stopped for the worker's sake */
+	struct health_run health;
 	int64_t deadline; /* no run of the job after it */
-	int64_t wait_until; /* WAITING */
-	int64_t urgent_at; /* earlier comes first */
 	uint64_t order; /* start or stop under way; 0: none */
 	uint64_t fence; /* of the last start */
 	uint32_t tries; /* starts sent */
@@ -101,11 +110,17 @@
 	int64_t stop_sent_at;
 	bool stop_wanted; /* as soon as it is known to be at work */
 	enum mlk_run_end stop_end; /* how such an end is reported */
-	uint32_t percent;
-	int64_t progress_at; /* when percent last rose */
 	uint64_t listed; /* the last listing that showed it */
 };
 
+/* Room that is kept for an entry until it answers. */
+struct offer {
+	uint64_t id;
+	struct entry *entry;
+	struct mlk_room room;
+	int64_t until;
+};
+
 /* A call to the worker that has not been answered. */
 struct order {
 	uint64_t id;
@@ -135,8 +150,9 @@
 	uint64_t acked; /* ends up to this are done with */
 	uint64_t ack_sent; /* and the worker knows */
 	bool settle; /* a listing under the present fence is needed */
-	uint64_t list; /* order id of the plain listing under way; 0: none */
-	uint64_t settle_list; /* and of the settling one */
+	uint64_t lists[LISTS_MAX]; /* order ids of those under way; 0: none */
+	int64_t list_sent_at; /* of the last one */
+	uint64_t settle_list; /* order id of the settling one */
 	int64_t list_after; /* not before */
 };
 
@@ -157,8 +173,11 @@
 	uint64_t last_order;
 	uint32_t last_connect;
 	struct mlk_room reserved;
-	uint32_t nactive; /* runs that hold room */
-	uint32_t nwaiting;
+	uint32_t nactive; /* runs, each of which holds room */
+	GArray *offers; /* struct offer */
+	uint64_t last_offer;
+	struct mlk_room offered;
+	struct health health;
 	enum mlk_worker_state state; /* as the entries know it */
 	uint64_t list_number;
 	struct mlk_runner_effects *out; /* of the event in hand */
@@ -170,8 +189,11 @@
     __attribute__((format(printf, 4, 5)));
 struct mlk_room runner_free(const struct mlk_runner *r);
 enum mlk_worker_state runner_state(const struct mlk_runner *r);
+bool runner_takes_work(const struct mlk_runner *r);
+bool runner_on_trial(const struct mlk_runner *r);
 
 /* runner_runs.c */
+uint64_t runner_job_key(const struct run *run);
 struct run *runner_run_find(
     struct mlk_runner *r, const struct mlk_run_name *name);
 void runner_run_add(struct mlk_runner *r, struct entry *e,
@@ -183,14 +205,21 @@
     struct mlk_runner *r, struct run *run, enum mlk_run_end end);
 void runner_runs_lost(struct mlk_runner *r, const char *cause);
 void runner_runs_due(struct mlk_runner *r);
-void runner_runs_start(struct mlk_runner *r);
+
+/* runner_offers.c */
+void runner_offer_want(
+    struct mlk_runner *r, struct entry *e, const struct mlk_want *want);
+void runner_offer_end(struct mlk_runner *r, uint64_t id);
+void runner_offers_forget(struct mlk_runner *r, const struct entry *e);
+void runner_offers_due(struct mlk_runner *r);
 
 /* runner_orders.c */
 void runner_order_start(struct mlk_runner *r, struct run *run);
 void runner_order_stop(struct mlk_runner *r, struct run *run);
 void runner_order_stop_foreign(
     struct mlk_runner *r, const struct mlk_run_name *name);
-void runner_order_list(struct mlk_runner *r, bool settle, uint32_t wait_ms);
+void runner_order_settle(struct mlk_runner *r);
+void runner_order_list(struct mlk_runner *r, uint32_t slot, uint32_t wait_ms);
 void runner_order_ended(
     struct mlk_runner *r, const struct mlk_runner_event *ev);
 void runner_orders_forget(struct mlk_runner *r, const struct run *run);
@@ -201,6 +230,12 @@
     const struct order *order);
 void runner_list_due(struct mlk_runner *r);
 
+/* runner_health.c */
+void runner_health_judge(struct mlk_runner *r);
+void runner_health_ended(
+    struct mlk_runner *r, const struct run *run, enum mlk_run_end end);
+void runner_health_due(struct mlk_runner *r);
+
 /* runner_worker.c */
 void runner_clock(struct mlk_runner *r, int64_t clock_ms);
 int64_t runner_lease_until(struct mlk_runner *r);
@@ -219,6 +254,9 @@
 void runner_link_up(struct mlk_runner *r, uint32_t link, uint32_t connect);
 void runner_link_down(struct mlk_runner *r, uint32_t link, uint32_t connect);
 void runner_msg(struct mlk_runner *r, uint32_t link, const struct mlk_msg *msg);
+struct mlk_msg *runner_send(
+    struct mlk_runner *r, struct entry *e, enum mlk_msg_type type);
+uint64_t runner_now_ms(const struct mlk_runner *r);
 void runner_links_due(struct mlk_runner *r);
 void runner_links_flush(struct mlk_runner *r);
 void runner_entry_free(gpointer data);
--- a/src/dispatch/runner_runs.c
+++ b/src/dispatch/runner_runs.c
@@ -6,10 +6,13 @@
 
 #include "runner_priv.h"
 
-static bool
-holds_room(const struct run *run)
+/*
+ * Returns a number that tells the jobs of all entries apart.
+ */
+uint64_t
+runner_job_key(const struct run *run)
 {
-	return (run->state != RUN_WAITING);
+	return (run->job ^ (uint64_t)(uintptr_t)run->entry << 20);
 }
 
 struct run *
@@ -71,13 +74,10 @@
 void
 runner_run_ended(struct mlk_runner *r, struct run *run, enum mlk_run_end end)
 {
-	if (holds_room(run)) {
-		mlk_room_take(&r->reserved, &run->room);
-		r->nactive--;
-	} else {
-		r->nwaiting--;
-	}
+	mlk_room_take(&r->reserved, &run->room);
+	r->nactive--;
 	count_end(r, end);
+	runner_health_ended(r, run, end);
 	report(run->entry, run->job, run->name.step, run->name.index, end,
 	    run->confirmed_at != 0 ? r->now - run->sent_at : 0);
 	run->entry->nruns--;
@@ -89,45 +89,62 @@
 }
 
 /*
- * Adds a task of a RUN message.  Without place in the table, and while the
- * same task is still at work here for an earlier request, it is answered
- * REFUSED.
+ * Returns why a task cannot be started, as its end; DONE when it can.
+ */
+static enum mlk_run_end
+obstacle(struct mlk_runner *r, const struct mlk_run_name *name,
+    const struct mlk_room *need)
+{
+	struct mlk_room free = runner_free(r);
+
+	if (r->runs->len >= RUNNER_RUNS_MAX)
+		return (MLK_RUN_BUSY);
+	if (runner_run_find(r, name) != NULL)
+		return (MLK_RUN_REFUSED);
+	if (!mlk_room_fits(&free, need) ||
+	    (runner_on_trial(r) && r->nactive > 0))
+		return (MLK_RUN_BUSY);
+	return (MLK_RUN_DONE);
+}
+
+/*
+ * Starts a task of a RUN message, or answers BUSY without room for it, and
+ * REFUSED while the same task is still at work here for an earlier request.
  */
 void
 runner_run_add(struct mlk_runner *r, struct entry *e, const struct mlk_msg *msg,
     const struct mlk_run_task *task, GBytes *spec)
 {
+	struct mlk_run_name name = { 0 };
+	enum mlk_run_end end;
 	struct run *run;
 
-	run = g_new0(struct run, 1);
-	(void)g_strlcpy(run->name.id, msg->u.run.id, sizeof(run->name.id));
-	run->name.step = msg->u.run.step;
-	run->name.index = task->index;
-	if (r->runs->len >= RUNNER_RUNS_MAX ||
-	    runner_run_find(r, &run->name) != NULL) {
-		runner_log(r, MLK_LOG_WARNING, run, "task %u.%u refused: %s",
-		    run->name.step, run->name.index,
-		    r->runs->len >= RUNNER_RUNS_MAX ? "too many runs" :
-						      "it is at work already");
-		r->counters.refused++;
-		report(e, msg->u.run.job, msg->u.run.step, task->index,
-		    MLK_RUN_REFUSED, 0);
-		g_free(run);
+	(void)g_strlcpy(name.id, msg->u.run.id, sizeof(name.id));
+	name.step = msg->u.run.step;
+	name.index = task->index;
+	name.run = 1;
+	end = obstacle(r, &name, &task->room);
+	if (end != MLK_RUN_DONE) {
+		count_end(r, end);
+		report(e, msg->u.run.job, name.step, name.index, end, 0);
 		return;
 	}
+	run = g_new0(struct run, 1);
+	run->name = name;
 	run->entry = e;
 	run->job = msg->u.run.job;
 	run->room = task->room;
 	run->spec = g_bytes_ref(spec);
-	run->estimate_ms = msg->u.run.estimate_ms;
+	run->expected_ms = msg->u.run.expected_ms;
+	run->movable = msg->u.run.movable != 0;
 	run->deadline = r->now + (int64_t)msg->u.run.deadline_ms * MS;
-	run->wait_until = r->now + (int64_t)msg->u.run.wait_ms * MS;
-	run->urgent_at = r->now + (int64_t)msg->u.run.urgency_ms * MS;
 	run->stop_end = MLK_RUN_STOPPED;
 	g_ptr_array_add(r->runs, run);
 	(void)g_hash_table_insert(r->by_name, &run->name, run);
 	e->nruns++;
-	r->nwaiting++;
+	mlk_room_add(&r->reserved, &run->room);
+	r->nactive++;
+	runner_order_start(r, run);
 }
 
 /*
@@ -140,23 +157,20 @@
 		return;
 	run->state = RUN_ACTIVE;
 	run->confirmed_at = r->now;
-	run->progress_at = r->now;
+	health_run_begin(
+	    &run->health, runner_job_key(run), run->expected_ms, r->now);
 	if (run->stop_wanted)
 		runner_run_stop(r, run, run->stop_end);
 }
 
 /*
- * Sees to it that a run ends; it is reported as `end` then.  What waits ends
- * at once; a start without an answer is stopped when it is known to have
- * taken effect.
+ * Sees to it that a run ends; it is reported as `end` then.  A start without
+ * an answer is stopped when it is known to have taken effect.
  */
 void
 runner_run_stop(struct mlk_runner *r, struct run *run, enum mlk_run_end end)
 {
 	switch (run->state) {
-	case RUN_WAITING:
-		runner_run_ended(r, run, MLK_RUN_REFUSED);
-		return;
 	case RUN_STARTING:
 	case RUN_DOUBT:
 		if (!run->stop_wanted)
@@ -189,8 +203,6 @@
 
 	for (i = r->runs->len; i > 0; i--) {
 		run = g_ptr_array_index(r->runs, i - 1);
-		if (!holds_room(run))
-			continue;
 		runner_run_ended(
 		    r, run, run->stop_wanted ? run->stop_end : MLK_RUN_LOST);
 		n++;
@@ -201,8 +213,7 @@
 }
 
 /*
- * Deadlines of jobs, waits for room that are over, stops to be repeated.
- * Comes after the starts, so that a task that may not wait can still start.
+ * Deadlines of jobs, and stops to be repeated.
  */
 void
 runner_runs_due(struct mlk_runner *r)
@@ -212,65 +223,10 @@
 
 	for (i = r->runs->len; i > 0; i--) {
 		run = g_ptr_array_index(r->runs, i - 1);
-		if (r->now >= run->deadline) {
+		if (r->now >= run->deadline)
 			runner_run_stop(r, run, MLK_RUN_STOPPED);
-		} else if (run->state == RUN_WAITING &&
-		    r->state != MLK_WORKER_READY) {
-			runner_run_ended(r, run, MLK_RUN_REFUSED);
-		} else if (run->state == RUN_WAITING &&
-		    r->now >= run->wait_until) {
-			runner_run_ended(r, run, MLK_RUN_BUSY);
-		} else if (run->state == RUN_STOPPING && run->order == 0 &&
-		    r->now - run->stop_sent_at >= STOP_RETRY_NS) {
+		else if (run->state == RUN_STOPPING && run->order == 0 &&
+		    r->now - run->stop_sent_at >= STOP_RETRY_NS)
 			runner_order_stop(r, run);
-		}
-	}
-}
-
-static gint
-by_urgency(gconstpointer a, gconstpointer b)
-{
-	const struct run *x = *(struct run *const *)a;
-	const struct run *y = *(struct run *const *)b;
-
-	if (x->urgent_at != y->urgent_at)
-		return (x->urgent_at < y->urgent_at ? -1 : 1);
-	return (0);
-}
-
-/*
- * Starts what waits and fits, most urgent first.  A task that does not fit is
- * passed over: its wait is short, and others go on meanwhile.
- */
-void
-runner_runs_start(struct mlk_runner *r)
-{
-	struct mlk_room free;
-	GPtrArray *waiting;
-	struct run *run;
-	guint i;
-
-	if (r->nwaiting == 0 || r->state != MLK_WORKER_READY)
-		return;
-	free = runner_free(r);
-	waiting = g_ptr_array_sized_new(r->nwaiting);
-	for (i = 0; i < r->runs->len; i++) {
-		run = g_ptr_array_index(r->runs, i);
-		if (run->state == RUN_WAITING && r->now < run->deadline)
-			g_ptr_array_add(waiting, run);
-	}
-	g_ptr_array_sort(waiting, by_urgency);
-	for (i = 0; i < waiting->len; i++) {
-		run = g_ptr_array_index(waiting, i);
-		if (!mlk_room_fits(&free, &run->room))
-			continue;
-		mlk_room_take(&free, &run->room);
-		mlk_room_add(&r->reserved, &run->room);
-		r->nwaiting--;
-		r->nactive++;
-		run->name.run = 1;
-		run->state = RUN_STARTING;
-		runner_order_start(r, run);
 	}
-	(void)g_ptr_array_free(waiting, TRUE);
 }
--- a/src/dispatch/runner_worker.c
+++ b/src/dispatch/runner_worker.c
@@ -65,6 +65,7 @@
 	if (w->boot != 0)
 		runner_runs_lost(r, "the worker has started anew");
 	w->boot = boot;
+	memset(&r->health, 0, sizeof(r->health));
 	w->acked = 0;
 	w->ack_sent = 0;
 	w->listed_ms = 0;
--- a/src/wire/filters.c
+++ b/src/wire/filters.c
@@ -410,8 +410,14 @@
 static bool_t
 worker_load(XDR *xdrs, struct mlk_worker_load *l)
 {
-	return (room(xdrs, &l->free) && xdr_u_int(xdrs, &l->running) &&
-	    xdr_u_int(xdrs, &l->waiting));
+	return (room(xdrs, &l->free) && xdr_u_int(xdrs, &l->running));
+}
+
+static bool_t
+want(XDR *xdrs, struct mlk_want *w)
+{
+	return (xdr_u_int(xdrs, &w->tasks) && xdr_u_int(xdrs, &w->urgency_ms) &&
+	    room(xdrs, &w->room));
 }
 
 static bool_t
@@ -491,10 +497,9 @@
 	    xdr_uint64_t(xdrs, &m->u.run.job) && TEXT(xdrs, m->u.run.id) &&
 	    number(xdrs, &m->u.run.step, 0, MLK_STEPS_MAX - 1) &&
 	    xdr_u_int(xdrs, &m->u.run.deadline_ms) &&
-	    xdr_u_int(xdrs, &m->u.run.urgency_ms) &&
-	    xdr_u_int(xdrs, &m->u.run.wait_ms) &&
-	    xdr_u_int(xdrs, &m->u.run.estimate_ms) &&
-	    blob(xdrs, &m->u.run.spec) &&
+	    xdr_uint64_t(xdrs, &m->u.run.offer) && want(xdrs, &m->u.run.want) &&
+	    xdr_u_int(xdrs, &m->u.run.expected_ms) &&
+	    flag(xdrs, &m->u.run.movable) && blob(xdrs, &m->u.run.spec) &&
 	    ARRAY(xdrs, m->u.run.tasks, m->u.run.n, MLK_TASKS_MAX, RUN_TASK_MIN,
 		run_task));
 }
@@ -577,6 +582,14 @@
 		    xdr_uint64_t(xdrs, &msg->u.ping.routing_version));
 	case MLK_MSG_ROUTES:
 		return (routes_body(xdrs, &msg->u.routes));
+	case MLK_MSG_WANT:
+		return (xdr_uint64_t(xdrs, &msg->u.want.sent_at) &&
+		    xdr_uint64_t(xdrs, &msg->u.want.offer) &&
+		    want(xdrs, &msg->u.want.want));
+	case MLK_MSG_OFFER:
+		return (xdr_uint64_t(xdrs, &msg->u.offer.sent_at) &&
+		    xdr_uint64_t(xdrs, &msg->u.offer.offer) &&
+		    room(xdrs, &msg->u.offer.room));
 	default:
 		return (FALSE);
 	}
