--- a/include/monsoonlock/core.h
+++ b/include/monsoonlock/core.h
@@ -480,6 +480,8 @@
 		} drop;
 		struct { /* entry -> agent, entry -> entry */
 			uint64_t sent_at;
+			uint64_t echo; /* sent_at of the other's last message;
+					  0: none yet */
 			uint64_t routing_version;
 		} ping;
 		struct mlk_routing routes; /* any -> any: ROUTES */
--- a/src/dispatch/dispatcher_agents.c
+++ b/src/dispatch/dispatcher_agents.c
@@ -89,7 +89,7 @@
 	a->seq = 0;
 	(void)g_array_set_size(a->unseen, 0);
 	a->heard = d->now;
-	mlk_skew_reset(&a->skew);
+	a->echo = 0;
 	welcome = dispatch_send(d, a->link, MLK_MSG_WELCOME);
 	welcome->u.welcome.self = d->options.self;
 	welcome->u.welcome.config_version = d->routing.version;
@@ -112,12 +112,15 @@
 }
 
 static void
-note_sent_at(struct mlk_dispatcher *d, struct agent *a, uint64_t sent_at)
+ping(struct mlk_dispatcher *d, struct agent *a)
 {
-	int64_t age;
+	struct mlk_msg *msg;
 
-	age = mlk_skew_age(&a->skew, (int64_t)dispatch_now_ms(d), sent_at);
-	a->heard = MAX(a->heard, d->now - age * MS);
+	msg = dispatch_send(d, a->link, MLK_MSG_PING);
+	msg->u.ping.sent_at = dispatch_now_ms(d);
+	msg->u.ping.echo = a->echo;
+	msg->u.ping.routing_version = d->routing.version;
+	a->sent = d->now;
 }
 
 void
@@ -126,13 +129,17 @@
 {
 	const struct mlk_worker_info *info = &msg->u.worker.info;
 
-	note_sent_at(d, a, msg->u.worker.sent_at);
+	a->heard = d->now;
+	a->echo = msg->u.worker.sent_at;
 	if (!a->known || info->state != a->info.state ||
 	    info->boot != a->info.boot)
 		dispatch_log(d, MLK_LOG_INFO, NULL, a->id,
 		    "worker %s boot %" PRIu64 " state %d, cpu %u of %u free",
 		    info->id, info->boot, (int)info->state,
 		    msg->u.worker.load.free.cpu, info->capacity.cpu);
+	/* The agent takes no work before it can tell the age of messages. */
+	if (!a->known)
+		ping(d, a);
 	a->known = true;
 	a->info = *info;
 	take_load(a, msg->u.worker.seen, &msg->u.worker.load);
@@ -163,7 +170,8 @@
 	struct task *task;
 	uint32_t i;
 
-	note_sent_at(d, a, msg->u.ends.sent_at);
+	a->heard = d->now;
+	a->echo = msg->u.ends.sent_at;
 	take_load(a, msg->u.ends.seen, &msg->u.ends.load);
 	d->place = true;
 	for (i = 0; i < msg->u.ends.n; i++) {
@@ -197,17 +205,6 @@
 	    "link with the agent ended, %u tasks there", a->tasks->len);
 }
 
-static void
-ping(struct mlk_dispatcher *d, struct agent *a)
-{
-	struct mlk_msg *msg;
-
-	msg = dispatch_send(d, a->link, MLK_MSG_PING);
-	msg->u.ping.sent_at = dispatch_now_ms(d);
-	msg->u.ping.routing_version = d->routing.version;
-	a->sent = d->now;
-}
-
 /*
  * Pings, silence, and tasks that are over with their lease.
  */
--- a/src/dispatch/dispatcher_place.c
+++ b/src/dispatch/dispatcher_place.c
@@ -325,7 +325,8 @@
 	GPtrArray *order;
 	guint i;
 
-	if (!d->place || d->nqueued == 0)
+	/* After a pause, first read which callers have left meanwhile. */
+	if (!d->place || d->nqueued == 0 || d->now < d->paused_until)
 		return;
 	d->place = false;
 	judge_sickness(d);
@@ -372,7 +373,9 @@
 	guint i;
 
 	order = dispatch_queue_order(d);
-	for (i = 0; i < order->len && reply == NULL; i++) {
+	for (i = 0;
+	     d->now >= d->paused_until && i < order->len && reply == NULL;
+	     i++) {
 		job = g_ptr_array_index(order, i);
 		if (!usable(d, a, job->pool) || avoided(job, a))
 			continue;
@@ -382,6 +385,8 @@
 			    send_run(d, job, step, n, a, msg->u.offer.offer);
 	}
 	dispatch_queue_want(d, order, a->info.pool, &want);
+	if (d->now < d->paused_until)
+		want.tasks = 0;
 	if (reply != NULL) {
 		d->counters.offers_taken++;
 		reply->u.run.want = want;
--- a/src/dispatch/dispatcher_priv.h
+++ b/src/dispatch/dispatcher_priv.h
@@ -16,7 +16,6 @@
 #include <monsoonlock/dispatch.h>
 
 #include "effects.h"
-#include "skew.h"
 
 #define MS ((int64_t)MLK_NSEC_PER_MSEC)
 
@@ -29,10 +28,9 @@
 #define AGENT_SILENT_IDLE_NS (3000 * MS)
 /*
  * From the end of a link until every run that was started over it is over:
- * the lease of an entry at an agent, 900 ms, and the stop; or the lease of an
- * agent's runs at a worker, 1,020 ms.  With a margin for messages under way.
+ * agents see to it, or the leases that they gave have run out.
  */
-#define DETACHED_NS (1120 * MS)
+#define DETACHED_NS (1250 * MS)
 #define PEER_BEAT_NS (500 * MS)
 #define PEER_SILENT_NS (2500 * MS)
 #define CONNECT_RETRY_NS (500 * MS)
@@ -40,7 +38,11 @@
 #define PEER_FORGET_NS (60000 * MS)
 /* An event that comes so long after the one before tells of a pause. */
 #define PAUSE_NS (250 * MS)
-#define PAUSE_GRACE_NS (150 * MS) /* to read what arrived meanwhile */
+/*
+ * To read what arrived meanwhile; the event loop looks for callers that have
+ * left every 100 ms.
+ */
+#define PAUSE_GRACE_NS (150 * MS)
 #define RETRY_AFTER_MS 1000
 /*
  * After a stop began, the balancer's checks, one a second of which two must
@@ -93,7 +95,7 @@
 	uint64_t seq; /* of the last RUN on this link */
 	int64_t heard;
 	int64_t sent;
-	struct mlk_skew skew;
+	uint64_t echo; /* its clock when it sent what came last */
 	GPtrArray *tasks; /* in flight here, or detached */
 	int64_t want_at; /* what is wanted was told last */
 	uint32_t want_tasks; /* as told */
--- a/src/dispatch/runner.c
+++ b/src/dispatch/runner.c
@@ -13,7 +13,7 @@
 #include "runner_priv.h"
 
 #define DEFAULT_LEASE_MS 1000
-#define DEFAULT_ENTRY_LEASE_MS 900
+#define DEFAULT_ENTRY_LEASE_MS 800
 #define DEFAULT_GRACE_MS 5000
 #define EXIT_MARGIN_NS (400 * MS) /* of the grace, for the last messages */
 
@@ -160,7 +160,8 @@
 bool
 runner_takes_work(const struct mlk_runner *r)
 {
-	return (r->state == MLK_WORKER_READY || r->state == MLK_WORKER_SICK);
+	return ((r->state == MLK_WORKER_READY || r->state == MLK_WORKER_SICK) &&
+	    runner_lease_end(r) - r->now >= LEASE_MIN_NS);
 }
 
 /*
--- a/src/dispatch/runner_links.c
+++ b/src/dispatch/runner_links.c
@@ -178,7 +178,8 @@
 }
 
 /*
- * Takes note of when a message was sent.  Returns its age in ms.
+ * Takes note of when a message was sent.  Returns its age in ms, -1 while that
+ * is unknown.
  */
 static int64_t
 note_sent_at(struct mlk_runner *r, struct entry *e, uint64_t sent_at)
@@ -186,6 +187,8 @@
 	int64_t age, heard;
 
 	age = mlk_skew_age(&e->skew, (int64_t)runner_now_ms(r), sent_at);
+	if (age < 0)
+		return (age);
 	heard = r->now - age * MS;
 	e->heard = MAX(e->heard, heard);
 	return (age);
@@ -203,7 +206,7 @@
 	e->seen = msg->u.run.seq;
 	runner_offer_end(r, msg->u.run.offer);
 	runner_offer_want(r, e, &msg->u.run.want);
-	if (runner_takes_work(r) && age <= STALE_RUN_MS) {
+	if (runner_takes_work(r) && age >= 0 && age <= STALE_RUN_MS) {
 		spec = g_bytes_new(msg->u.run.spec.data, msg->u.run.spec.len);
 		for (i = 0; i < msg->u.run.n; i++)
 			runner_run_add(r, e, msg, &msg->u.run.tasks[i], spec);
@@ -270,6 +273,8 @@
 		on_drop(r, e, msg);
 		break;
 	case MLK_MSG_PING:
+		mlk_skew_answer(&e->skew, (int64_t)runner_now_ms(r),
+		    msg->u.ping.sent_at, msg->u.ping.echo);
 		(void)note_sent_at(r, e, msg->u.ping.sent_at);
 		break;
 	case MLK_MSG_PEERS:
--- a/src/dispatch/runner_listing.c
+++ b/src/dispatch/runner_listing.c
@@ -84,8 +84,7 @@
 settle_start(struct mlk_runner *r, struct run *run)
 {
 	r->counters.starts_void++;
-	if (run->stop_wanted || run->tries >= START_TRIES_MAX ||
-	    r->now >= run->deadline) {
+	if (!runner_may_start_again(r, run)) {
 		runner_run_ended(r, run, MLK_RUN_REFUSED);
 		return;
 	}
@@ -127,6 +126,8 @@
 	struct worker *w = &r->worker;
 	bool foreign;
 
+	if (ev->u.order.boot != 0 && ev->u.order.boot < w->boot)
+		return;
 	runner_boot(r, ev->u.order.boot);
 	w->ack_sent = MAX(w->ack_sent, MIN(w->acked, order->ack));
 	take_ends(r, ev);
--- a/src/dispatch/runner_orders.c
+++ b/src/dispatch/runner_orders.c
@@ -86,26 +86,6 @@
 	r->counters.stops++;
 }
 
-/*
- * Tells whether a run that must end has not been confirmed to for so long
- * that no lease is renewed any more, which ends it with all others.  A worker
- * that is away gets no renewal either: it may take what it does not answer.
- */
-static bool
-withholds_lease(const struct mlk_runner *r)
-{
-	const struct run *run;
-	guint i;
-
-	for (i = 0; i < r->runs->len; i++) {
-		run = g_ptr_array_index(r->runs, i);
-		if (run->state == RUN_STOPPING &&
-		    r->now - run->stop_since >= STOP_PATIENCE_NS)
-			return (true);
-	}
-	return (false);
-}
-
 /*
  * Asks what runs and what has ended, and renews the lease of all runs.
  */
@@ -121,7 +101,8 @@
 	sent->ack = order->ack;
 	order->wait_ms = wait_ms;
 	order->timeout_ms = wait_ms + ORDER_TIMEOUT_MS;
-	if (r->nactive > 0 && !runner_away(r) && !withholds_lease(r))
+	/* A worker that is away may take what it does not answer. */
+	if (r->nactive > 0 && !runner_away(r))
 		order->lease_until_ms = runner_lease_until(r);
 	r->counters.lists++;
 	return (order);
@@ -200,6 +181,14 @@
 	    "the worker has seen a higher fence; trying %" PRIu64, w->fence);
 }
 
+bool
+runner_may_start_again(const struct mlk_runner *r, const struct run *run)
+{
+	return (!run->stop_wanted && run->tries < START_TRIES_MAX &&
+	    r->now < run->deadline &&
+	    runner_lease_end(r) - r->now >= LEASE_MIN_NS);
+}
+
 /*
  * Sends a start once more, under the next number and the present fence; or
  * gives it up as not run.
@@ -207,7 +196,7 @@
 static void
 start_again(struct mlk_runner *r, struct run *run)
 {
-	if (run->stop_wanted || run->tries >= START_TRIES_MAX) {
+	if (!runner_may_start_again(r, run)) {
 		runner_run_ended(r, run, MLK_RUN_REFUSED);
 		return;
 	}
@@ -281,7 +270,7 @@
 	enum mlk_order_result result = ev->u.order.result;
 
 	if (!was_answered(result)) {
-		runner_unanswered(r, result == MLK_ORDER_UNREACHED);
+		runner_unanswered(r, order, result == MLK_ORDER_UNREACHED);
 		/* A listing or a stop may be carried out late: no harm. */
 		if (result == MLK_ORDER_NO_ANSWER &&
 		    order->type == MLK_ORDER_START &&
--- a/src/dispatch/runner_priv.h
+++ b/src/dispatch/runner_priv.h
@@ -43,9 +43,16 @@
 #define AWAY_NS (250 * MS)
 #define PROBE_NS (200 * MS) /* between looks at a worker that is away */
 #define IDLE_LIST_NS (500 * MS) /* between looks at an idle worker */
-/* A stop that is not confirmed by then withholds the lease of all runs. */
-#define STOP_PATIENCE_NS (300 * MS)
 #define STOP_RETRY_NS (100 * MS)
+/*
+ * All runs at a worker share one lease.  It never goes further than this from
+ * the time at which a run was to be stopped, or from the last sign of an entry
+ * that has runs here: both must be over when their job may start elsewhere,
+ * 1,250 ms after, also when the worker answers no order.  Of that, 250 ms are
+ * for the error of ages and 2 % for the worker's clock.
+ */
+#define LEASE_LIMIT_NS (950 * MS)
+#define LEASE_MIN_NS (300 * MS) /* nothing is started under a shorter one */
 /* A steady clock of a worker may be slow by 2 %; and a call takes its time. */
 #define LEASE_SLACK_PERCENT 3
 #define LEASE_SLACK_NS (50 * MS)
@@ -106,7 +113,7 @@
 	uint32_t tries; /* starts sent */
 	int64_t sent_at; /* of the last start */
 	int64_t confirmed_at; /* known to be at work since */
-	int64_t stop_since; /* STOPPING */
+	int64_t stop_at; /* a stop is wanted since */
 	int64_t stop_sent_at;
 	bool stop_wanted; /* as soon as it is known to be at work */
 	enum mlk_run_end stop_end; /* how such an end is reported */
@@ -147,6 +154,7 @@
 	int64_t answered_at;
 	int64_t unanswered_since; /* 0: no order is */
 	uint32_t refused; /* connections refused in a row */
+	int64_t refused_since; /* the first of those orders was sent */
 	uint64_t acked; /* ends up to this are done with */
 	uint64_t ack_sent; /* and the worker knows */
 	bool settle; /* a listing under the present fence is needed */
@@ -203,7 +211,9 @@
 void runner_run_confirmed(struct mlk_runner *r, struct run *run);
 void runner_run_stop(
     struct mlk_runner *r, struct run *run, enum mlk_run_end end);
-void runner_runs_lost(struct mlk_runner *r, const char *cause);
+/* INT64_MAX: also those whose start has not been answered. */
+void runner_runs_lost(
+    struct mlk_runner *r, int64_t confirmed_before, const char *cause);
 void runner_runs_due(struct mlk_runner *r);
 
 /* runner_offers.c */
@@ -215,6 +225,7 @@
 
 /* runner_orders.c */
 void runner_order_start(struct mlk_runner *r, struct run *run);
+bool runner_may_start_again(const struct mlk_runner *r, const struct run *run);
 void runner_order_stop(struct mlk_runner *r, struct run *run);
 void runner_order_stop_foreign(
     struct mlk_runner *r, const struct mlk_run_name *name);
@@ -238,6 +249,7 @@
 
 /* runner_worker.c */
 void runner_clock(struct mlk_runner *r, int64_t clock_ms);
+int64_t runner_lease_end(const struct mlk_runner *r);
 int64_t runner_lease_until(struct mlk_runner *r);
 void runner_boot(struct mlk_runner *r, uint64_t boot);
 bool runner_away(const struct mlk_runner *r);
@@ -245,7 +257,8 @@
     struct mlk_runner *r, const struct mlk_announcement *announced);
 void runner_left(struct mlk_runner *r, const char *worker);
 void runner_answered(struct mlk_runner *r);
-void runner_unanswered(struct mlk_runner *r, bool refused);
+void runner_unanswered(
+    struct mlk_runner *r, const struct order *order, bool refused);
 void runner_worker_due(struct mlk_runner *r);
 
 /* runner_links.c */
--- a/src/dispatch/runner_runs.c
+++ b/src/dispatch/runner_runs.c
@@ -163,6 +163,16 @@
 		runner_run_stop(r, run, run->stop_end);
 }
 
+static void
+want_stop(struct mlk_runner *r, struct run *run, enum mlk_run_end end)
+{
+	if (run->stop_wanted)
+		return;
+	run->stop_wanted = true;
+	run->stop_end = end;
+	run->stop_at = r->now;
+}
+
 /*
  * Sees to it that a run ends; it is reported as `end` then.  A start without
  * an answer is stopped when it is known to have taken effect.
@@ -173,16 +183,11 @@
 	switch (run->state) {
 	case RUN_STARTING:
 	case RUN_DOUBT:
-		if (!run->stop_wanted)
-			run->stop_end = end;
-		run->stop_wanted = true;
+		want_stop(r, run, end);
 		return;
 	case RUN_ACTIVE:
-		if (!run->stop_wanted)
-			run->stop_end = end;
-		run->stop_wanted = true;
+		want_stop(r, run, end);
 		run->state = RUN_STOPPING;
-		run->stop_since = r->now;
 		runner_order_stop(r, run);
 		return;
 	case RUN_STOPPING:
@@ -191,11 +196,12 @@
 }
 
 /*
- * Ends every run that may have been at work: the worker, or their lease, is
- * over.
+ * Ends the runs that were known to be at work before some time: the worker, or
+ * their lease, is over.
  */
 void
-runner_runs_lost(struct mlk_runner *r, const char *cause)
+runner_runs_lost(
+    struct mlk_runner *r, int64_t confirmed_before, const char *cause)
 {
 	struct run *run;
 	uint32_t n = 0;
@@ -203,6 +209,10 @@
 
 	for (i = r->runs->len; i > 0; i--) {
 		run = g_ptr_array_index(r->runs, i - 1);
+		if (confirmed_before != INT64_MAX &&
+		    (run->confirmed_at == 0 ||
+			run->confirmed_at >= confirmed_before))
+			continue;
 		runner_run_ended(
 		    r, run, run->stop_wanted ? run->stop_end : MLK_RUN_LOST);
 		n++;
--- a/src/dispatch/runner_worker.c
+++ b/src/dispatch/runner_worker.c
@@ -30,8 +30,32 @@
 }
 
 /*
- * Returns the end of a full lease that begins now, on the worker's clock, and
- * notes by when it has run out for certain; 0 when the clock is unknown.
+ * Returns when a lease that is renewed now ends.
+ */
+int64_t
+runner_lease_end(const struct mlk_runner *r)
+{
+	int64_t end = r->now + (int64_t)r->options.lease_ms * MS;
+	const struct entry *e;
+	const struct run *run;
+	guint i;
+
+	for (i = 0; i < r->runs->len; i++) {
+		run = g_ptr_array_index(r->runs, i);
+		if (run->stop_wanted)
+			end = MIN(end, run->stop_at + LEASE_LIMIT_NS);
+	}
+	for (i = 0; i < r->entries->len; i++) {
+		e = g_ptr_array_index(r->entries, i);
+		if (e->nruns > 0 && e->attached)
+			end = MIN(end, e->heard + LEASE_LIMIT_NS);
+	}
+	return (end);
+}
+
+/*
+ * Returns the end of such a lease on the worker's clock, and notes by when it
+ * has run out for certain; 0 when it is over, or the clock is unknown.
  */
 int64_t
 runner_lease_until(struct mlk_runner *r)
@@ -39,31 +63,31 @@
 	struct worker *w = &r->worker;
 	int64_t elapsed_ms, lease_ns, lapse_at;
 
-	if (w->clock_ms == 0)
+	lease_ns = runner_lease_end(r) - r->now;
+	if (w->clock_ms == 0 || lease_ns <= 0)
 		return (0);
-	lease_ns = (int64_t)r->options.lease_ms * MS;
 	lapse_at = r->now + lease_ns + lease_ns * LEASE_SLACK_PERCENT / 100 +
 	    LEASE_SLACK_NS;
 	w->lapse_at = MAX(w->lapse_at, lapse_at);
 	elapsed_ms = (r->now - w->clock_at) / MS;
-	return (
-	    w->clock_ms + elapsed_ms * CLOCK_RATE / 1000 + r->options.lease_ms);
+	return (w->clock_ms + elapsed_ms * CLOCK_RATE / 1000 + lease_ns / MS);
 }
 
 /*
- * A listing or an announcement comes from this boot of the worker.  Another
- * one than before runs nothing of what was started, has seen no fence, and
- * counts its ends anew.
+ * A listing or an announcement comes from this boot of the worker.  A later
+ * one than before has seen no fence and counts its ends anew.  It may run what
+ * was started since it is up, if it has kept its id; what it does not list is
+ * lost.
  */
 void
 runner_boot(struct mlk_runner *r, uint64_t boot)
 {
 	struct worker *w = &r->worker;
 
-	if (boot == 0 || boot == w->boot)
+	if (boot <= w->boot)
 		return;
 	if (w->boot != 0)
-		runner_runs_lost(r, "the worker has started anew");
+		runner_fence_raise(r, "the worker has started anew");
 	w->boot = boot;
 	memset(&r->health, 0, sizeof(r->health));
 	w->acked = 0;
@@ -106,11 +130,8 @@
 	    (!w->known || w->info.state != MLK_WORKER_DRAINING);
 	if (!w->known || w->info.boot != a->info.boot)
 		w->left_at = 0;
-	if (w->boot != a->info.boot) {
+	if (w->boot < a->info.boot)
 		runner_boot(r, a->info.boot);
-		w->clock_ms = 0;
-		w->fence = 0;
-	}
 	w->known = true;
 	w->info = a->info;
 	w->seq = a->seq;
@@ -168,11 +189,12 @@
 
 /*
  * An order got no answer, or its connection was refused.  A worker that
- * refuses connections twice in a row does not exist any more, and what it ran
- * has ended with it.
+ * refuses connections twice in a row is gone, and what it ran before has ended
+ * with it.  It may be back by now: of a start that has no answer yet nothing is
+ * said.
  */
 void
-runner_unanswered(struct mlk_runner *r, bool refused)
+runner_unanswered(struct mlk_runner *r, const struct order *order, bool refused)
 {
 	struct worker *w = &r->worker;
 
@@ -183,8 +205,11 @@
 		return;
 	}
 	w->settle = true;
-	if (++w->refused == 2)
-		runner_runs_lost(r, "the worker refuses connections");
+	if (++w->refused == 1)
+		w->refused_since = order->sent_at;
+	else if (w->refused == 2)
+		runner_runs_lost(
+		    r, w->refused_since, "the worker refuses connections");
 }
 
 /*
@@ -200,11 +225,10 @@
 	guint i;
 
 	if (r->nactive > 0 && w->unanswered_since != 0 && r->now >= w->lapse_at)
-		runner_runs_lost(r,
-		    "the worker does not answer, and every "
-		    "lease has run out");
+		runner_runs_lost(r, INT64_MAX,
+		    "the worker does not answer, and every lease has run out");
 	if (w->left_at != 0 && r->nactive > 0 && r->now - w->left_at >= LEFT_NS)
-		runner_runs_lost(r, "the worker has left");
+		runner_runs_lost(r, INT64_MAX, "the worker has left");
 	/* An agent before this one renewed no lease after our start. */
 	if (!r->clean &&
 	    r->now - r->created >= (int64_t)r->options.lease_ms * MS +
--- a/src/dispatch/skew.c
+++ b/src/dispatch/skew.c
@@ -7,6 +7,8 @@
  * window, which is small against every lease.
  */
 #define WINDOW_MS 10000
+/* An age is too small by at most this; leases allow for it. */
+#define ROUND_TRIP_MAX_MS 250
 
 void
 mlk_skew_reset(struct mlk_skew *skew)
@@ -14,6 +16,19 @@
 	memset(skew, 0, sizeof(*skew));
 }
 
+void
+mlk_skew_answer(
+    struct mlk_skew *skew, int64_t now_ms, uint64_t sent_at, uint64_t echo)
+{
+	if (skew->known || echo == 0 ||
+	    now_ms - (int64_t)echo > ROUND_TRIP_MAX_MS)
+		return;
+	skew->known = true;
+	skew->least[0] = now_ms - (int64_t)sent_at;
+	skew->least[1] = skew->least[0];
+	skew->window_end = now_ms + WINDOW_MS;
+}
+
 static int64_t
 least_of(const struct mlk_skew *skew)
 {
@@ -26,14 +41,9 @@
 {
 	int64_t difference;
 
+	if (!skew->known)
+		return (-1);
 	difference = now_ms - (int64_t)sent_at;
-	if (!skew->known) {
-		skew->known = true;
-		skew->least[0] = difference;
-		skew->least[1] = difference;
-		skew->window_end = now_ms + WINDOW_MS;
-		return (0);
-	}
 	if (now_ms >= skew->window_end) {
 		skew->least[1] = skew->least[0];
 		skew->least[0] = difference;
--- a/src/wire/filters.c
+++ b/src/wire/filters.c
@@ -579,6 +579,7 @@
 		    xdr_uint64_t(xdrs, &msg->u.drop.job));
 	case MLK_MSG_PING:
 		return (xdr_uint64_t(xdrs, &msg->u.ping.sent_at) &&
+		    xdr_uint64_t(xdrs, &msg->u.ping.echo) &&
 		    xdr_uint64_t(xdrs, &msg->u.ping.routing_version));
 	case MLK_MSG_ROUTES:
 		return (routes_body(xdrs, &msg->u.routes));
--- /dev/null
+++ b/test/dispatch_world.c
@@ -0,0 +1,1513 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "dispatch_world.h"
+#include "fake_worker.h"
+
+#define NS_PER_MS ((int64_t)MLK_NSEC_PER_MSEC)
+#define TICK_MS 20
+#define BEAT_MS 1500 /* between announcements of a worker */
+#define LINK_DELAY_MS 1
+#define CONNECT_TIMEOUT_MS 3000
+#define RESEND_MS 1300
+#define TRIES_MAX 3
+#define TASKS_MAX 12
+#define TARGET_MS 60
+#define STRETCH 1600
+#define SETTLE_MS 200000 /* three tries of the longest deadline */
+#define SETTLE_STEP_MS 2000
+#define LATE_MIN_MS 60
+#define LATE_MAX_MS 6000
+
+enum event_type {
+	EV_TICK_ENTRY,
+	EV_TICK_AGENT,
+	EV_BEAT,
+	EV_SUBMIT,
+	EV_DEADLINE, /* of a caller's attempt */
+	EV_LEAVE,
+	EV_MSG,
+	EV_CONNECT,
+	EV_DOWN, /* a link end is told that its link is over */
+	EV_ORDER, /* reaches the worker */
+	EV_LIST_DUE, /* a waiting listing is answered */
+	EV_ANSWER, /* an order's answer reaches the agent */
+	EV_REPLY, /* an entry's answer reaches the caller */
+	EV_GONE, /* an entry is told that its caller left */
+	EV_FAULT,
+	EV_RETURN, /* a process or a worker is back */
+	EV_RESUME, /* a paused process goes on */
+	EV_ARRIVAL,
+};
+
+/* One connection between an entry and an agent; both ends have a handle. */
+struct wlink {
+	uint32_t id;
+	uint32_t entry;
+	uint32_t agent;
+	uint64_t entry_life;
+	uint64_t agent_life;
+	bool open[2]; /* as the entry, the agent sees it */
+	int64_t last_at[2]; /* of delivery to the entry, the agent */
+};
+
+struct event {
+	int64_t at;
+	uint64_t seq;
+	enum event_type type;
+	uint32_t index; /* of the process or worker */
+	uint64_t life; /* of the process that it is for */
+	uint32_t link;
+	uint32_t connect;
+	bool to_agent;
+	uint64_t request;
+	uint32_t job;
+	uint32_t attempt;
+	enum mlk_work_outcome outcome;
+	struct mlk_msg msg;
+	struct mlk_order order;
+	uint64_t boot;
+	bool answered; /* the order's answer will arrive */
+	struct mlk_runner_event result;
+	enum world_fault fault;
+	uint32_t ms;
+};
+
+struct wjob {
+	char id[MLK_ID_MAX];
+	uint32_t count;
+	uint32_t cpu;
+	uint32_t work_ms[TASKS_MAX];
+	uint32_t estimate_ms;
+	int64_t sent_at; /* first attempt */
+	uint32_t deadline_ms;
+	uint32_t goal_ms;
+	uint32_t attempts;
+	uint32_t rejected;
+	bool open; /* an attempt waits for its answer */
+	uint32_t entry; /* of that attempt */
+	uint64_t request;
+	bool started; /* a run of it has been at work */
+	bool over; /* the caller has its answer, or has left for good */
+	uint32_t done; /* tasks that have run to their end */
+};
+
+struct wentry {
+	bool up;
+	uint64_t life;
+	struct mlk_dispatcher *d;
+	int64_t paused_until;
+	double clock_rate;
+	int64_t clock_offset;
+	char addr[MLK_ADDR_MAX];
+};
+
+struct wagent {
+	bool up;
+	uint64_t life;
+	struct mlk_runner *r;
+	int64_t paused_until;
+	double clock_rate;
+	int64_t clock_offset;
+	struct fake_worker worker;
+	bool worker_refuses; /* connections while it is down; else silent */
+	uint64_t seen_end;
+	uint64_t beat_seq;
+	GArray *lists; /* struct event, listings that wait */
+	int64_t still_until;
+	int64_t slow_until;
+	int64_t fails_until;
+	int64_t late_until;
+	int64_t lost_until;
+	uint32_t loss_percent; /* of the orders, in either case */
+	int64_t silent_until; /* nothing reaches the worker, nor comes back */
+};
+
+struct world {
+	struct world_options options;
+	struct mlk_rng rng;
+	int64_t now;
+	uint64_t seq;
+	GSequence *events;
+	struct wentry entries[WORLD_ENTRIES_MAX];
+	struct wagent agents[WORLD_AGENTS_MAX];
+	GPtrArray *links;
+	int64_t cut_until[WORLD_ENTRIES_MAX][WORLD_AGENTS_MAX][2];
+	GPtrArray *jobs;
+	GHashTable *by_request; /* request -> job index + 1 */
+	GHashTable *by_id; /* id -> struct wjob */
+	uint64_t last_request;
+	uint64_t last_life;
+	uint64_t last_boot;
+	int64_t leave_until;
+	bool traffic;
+	struct world_stats stats;
+	char violation[256];
+};
+
+static void run_entry_effects(
+    struct world *w, uint32_t i, struct mlk_dispatch_effects *fx);
+static void run_agent_effects(
+    struct world *w, uint32_t i, struct mlk_runner_effects *fx);
+
+static uint32_t
+below(struct world *w, uint32_t bound)
+{
+	return (mlk_rng_below(&w->rng, bound));
+}
+
+static void
+violated(struct world *w, const char *what, const struct wjob *job)
+{
+	if (w->violation[0] != '\0')
+		return;
+	(void)snprintf(w->violation, sizeof(w->violation),
+	    "violated: %s: job %s at %" PRId64 " ms", what,
+	    job == NULL ? "-" : job->id, w->now);
+}
+
+/* ---- events ------------------------------------------------------------ */
+
+static void
+event_free(gpointer data)
+{
+	struct event *ev = data;
+
+	if (ev->type == EV_MSG)
+		mlk_msg_clear(&ev->msg);
+	mlk_blob_clear(&ev->order.spec);
+	g_free(ev);
+}
+
+static gint
+by_time(gconstpointer a, gconstpointer b, gpointer data)
+{
+	const struct event *x = a, *y = b;
+
+	(void)data;
+	if (x->at != y->at)
+		return (x->at < y->at ? -1 : 1);
+	return (x->seq < y->seq ? -1 : 1);
+}
+
+static struct event *
+push(struct world *w, int64_t at, enum event_type type, uint32_t index)
+{
+	struct event *ev;
+
+	ev = g_new0(struct event, 1);
+	ev->at = at < w->now ? w->now : at;
+	ev->seq = ++w->seq;
+	ev->type = type;
+	ev->index = index;
+	(void)g_sequence_insert_sorted(w->events, ev, by_time, NULL);
+	return (ev);
+}
+
+/* ---- clocks -------------------------------------------------------------- */
+
+static int64_t
+entry_now(const struct world *w, uint32_t i)
+{
+	const struct wentry *e = &w->entries[i];
+
+	return ((int64_t)((double)w->now * e->clock_rate * NS_PER_MS) +
+	    e->clock_offset * NS_PER_MS);
+}
+
+static int64_t
+agent_now(const struct world *w, uint32_t i)
+{
+	const struct wagent *a = &w->agents[i];
+
+	return ((int64_t)((double)w->now * a->clock_rate * NS_PER_MS) +
+	    a->clock_offset * NS_PER_MS);
+}
+
+/* ---- processes ----------------------------------------------------------- */
+
+static void
+apply_entry(struct world *w, uint32_t i, struct mlk_dispatch_event *ev)
+{
+	struct mlk_dispatch_effects fx = { 0 };
+	struct mlk_error err = { 0 };
+
+	ev->now = entry_now(w, i);
+	if (mlk_dispatcher_apply(w->entries[i].d, ev, &fx, &err) != 0)
+		violated(w, "an event was not applied", NULL);
+	run_entry_effects(w, i, &fx);
+	mlk_dispatch_effects_free(&fx);
+}
+
+static void
+apply_agent(struct world *w, uint32_t i, struct mlk_runner_event *ev)
+{
+	struct mlk_runner_effects fx = { 0 };
+	struct mlk_error err = { 0 };
+
+	ev->now = agent_now(w, i);
+	if (mlk_runner_apply(w->agents[i].r, ev, &fx, &err) != 0)
+		violated(w, "an event was not applied", NULL);
+	run_agent_effects(w, i, &fx);
+	mlk_runner_effects_free(&fx);
+}
+
+static void
+start_entry(struct world *w, uint32_t i)
+{
+	struct mlk_dispatch_event ev = { .type = MLK_DISPATCH_ROUTES };
+	struct mlk_route route = { .timeout_ms = 1500,
+		.target_ms = TARGET_MS,
+		.attempts = 3,
+		.stretch = STRETCH };
+	struct mlk_routing routing = {
+		.version = 1, .nroutes = 1, .routes = &route
+	};
+	struct wentry *e = &w->entries[i];
+	struct mlk_dispatcher_options options;
+
+	mlk_dispatcher_options_default(&options);
+	(void)snprintf(options.self.id, sizeof(options.self.id), "entry-%u", i);
+	(void)snprintf(options.self.dc, sizeof(options.self.dc), "dc-%u", i);
+	(void)snprintf(e->addr, sizeof(e->addr), "10.0.0.%u:7000", i + 1);
+	(void)snprintf(
+	    options.self.addr, sizeof(options.self.addr), "%s", e->addr);
+	options.self.incarnation = ++w->last_life;
+	options.seed = mlk_rng_next(&w->rng);
+	e->life = w->last_life;
+	e->up = true;
+	e->paused_until = 0;
+	e->d = mlk_dispatcher_create(&options);
+	strcpy(route.host, "h");
+	strcpy(route.prefix, "/");
+	strcpy(route.name, "r");
+	strcpy(route.pool, "pool-a");
+	ev.u.routes = &routing;
+	apply_entry(w, i, &ev);
+	push(w, w->now + 1 + below(w, TICK_MS), EV_TICK_ENTRY, i)->life =
+	    e->life;
+}
+
+static void
+start_agent(struct world *w, uint32_t i)
+{
+	char addrs[WORLD_ENTRIES_MAX][MLK_ADDR_MAX];
+	struct wagent *a = &w->agents[i];
+	struct mlk_runner_options options;
+	uint32_t k;
+
+	mlk_runner_options_default(&options);
+	(void)snprintf(options.id, sizeof(options.id), "agent-%u", i);
+	(void)snprintf(
+	    options.dc, sizeof(options.dc), "dc-%u", i % w->options.entries);
+	options.incarnation = ++w->last_life;
+	for (k = 0; k < w->options.entries; k++)
+		(void)snprintf(
+		    addrs[k], sizeof(addrs[k]), "10.0.0.%u:7000", k + 1);
+	options.nentries = w->options.entries;
+	options.entries = addrs;
+	a->life = w->last_life;
+	a->up = true;
+	a->paused_until = 0;
+	a->r = mlk_runner_create(&options);
+	push(w, w->now + 1 + below(w, TICK_MS), EV_TICK_AGENT, i)->life =
+	    a->life;
+}
+
+static void
+start_worker(struct world *w, uint32_t i, const char *id)
+{
+	struct wagent *a = &w->agents[i];
+	char fresh[MLK_NAME_MAX];
+
+	w->last_boot += 1 + below(w, 5);
+	if (id == NULL)
+		(void)snprintf(fresh, sizeof(fresh), "worker-%u-%" PRIu64, i,
+		    w->last_boot);
+	else
+		(void)snprintf(fresh, sizeof(fresh), "%s", id);
+	fake_worker_init(
+	    &a->worker, fresh, w->last_boot, w->options.cpu, w->now);
+	a->worker.clock_rate = 0.98 + below(w, 20) / 1000.0;
+	a->seen_end = 0;
+	a->beat_seq = 0;
+	(void)push(w, w->now + below(w, 200), EV_BEAT, i);
+}
+
+/* ---- links -----------------------------------------------------------------
+ */
+
+static struct wlink *
+link_get(struct world *w, uint32_t id)
+{
+	return (id == 0 || id > w->links->len ?
+		NULL :
+		g_ptr_array_index(w->links, id - 1));
+}
+
+static bool
+cut(const struct world *w, const struct wlink *l, bool to_agent)
+{
+	return (w->now < w->cut_until[l->entry][l->agent][to_agent]);
+}
+
+/*
+ * When something sent now arrives: after a cut is over, and in order.
+ */
+static int64_t
+arrival(struct world *w, struct wlink *l, bool to_agent)
+{
+	int64_t at = w->now + LINK_DELAY_MS + below(w, 3);
+
+	if (cut(w, l, to_agent))
+		at += w->cut_until[l->entry][l->agent][to_agent] - w->now;
+	if (at < l->last_at[to_agent])
+		at = l->last_at[to_agent];
+	l->last_at[to_agent] = at;
+	return (at);
+}
+
+static void
+link_send(struct world *w, uint32_t id, bool to_agent, struct mlk_msg *msg)
+{
+	struct wlink *l = link_get(w, id);
+	struct event *ev;
+
+	if (l == NULL || !l->open[!to_agent]) {
+		mlk_msg_clear(msg);
+		return;
+	}
+	ev = push(
+	    w, arrival(w, l, to_agent), EV_MSG, to_agent ? l->agent : l->entry);
+	ev->link = id;
+	ev->to_agent = to_agent;
+	ev->msg = *msg;
+	memset(msg, 0, sizeof(*msg));
+}
+
+/*
+ * One end of a link is closed; the other is told when that arrives.
+ */
+static void
+link_close(struct world *w, struct wlink *l, bool by_agent)
+{
+	struct event *ev;
+
+	if (!l->open[by_agent])
+		return;
+	l->open[by_agent] = false;
+	ev = push(w, arrival(w, l, !by_agent), EV_DOWN,
+	    by_agent ? l->entry : l->agent);
+	ev->link = l->id;
+	ev->to_agent = !by_agent;
+}
+
+/*
+ * Ends the links of a process that is gone.  After a silent death the others
+ * hear nothing of it.
+ */
+static void
+links_of_dead(struct world *w, uint32_t index, bool agent, bool silent)
+{
+	struct wlink *l;
+	guint i;
+
+	for (i = 0; i < w->links->len; i++) {
+		l = g_ptr_array_index(w->links, i);
+		if ((agent ? l->agent : l->entry) != index || !l->open[agent])
+			continue;
+		if (silent)
+			l->open[agent] = false;
+		else
+			link_close(w, l, agent);
+	}
+}
+
+static void
+on_connect(struct world *w, const struct event *ev)
+{
+	struct mlk_dispatch_event up = { .type = MLK_DISPATCH_LINK_UP };
+	struct mlk_runner_event rev = { .type = MLK_RUNNER_LINK_UP };
+	struct wagent *a = &w->agents[ev->index];
+	uint32_t i = (uint32_t)ev->request;
+	struct wlink *l;
+
+	if (!a->up || a->life != ev->life)
+		return;
+	if (!w->entries[i].up || w->now < w->cut_until[i][ev->index][0] ||
+	    w->now < w->cut_until[i][ev->index][1]) {
+		rev.type = MLK_RUNNER_LINK_DOWN;
+		rev.u.link.connect = ev->connect;
+		apply_agent(w, ev->index, &rev);
+		return;
+	}
+	l = g_new0(struct wlink, 1);
+	g_ptr_array_add(w->links, l);
+	l->id = w->links->len;
+	l->entry = i;
+	l->agent = ev->index;
+	l->entry_life = w->entries[i].life;
+	l->agent_life = a->life;
+	l->open[0] = true;
+	l->open[1] = true;
+	up.u.link.link = l->id;
+	apply_entry(w, i, &up);
+	rev.u.link.link = l->id;
+	rev.u.link.connect = ev->connect;
+	apply_agent(w, ev->index, &rev);
+}
+
+static void
+on_msg(struct world *w, struct event *ev)
+{
+	struct mlk_dispatch_event dev = { .type = MLK_DISPATCH_MSG };
+	struct mlk_runner_event rev = { .type = MLK_RUNNER_MSG };
+	struct wlink *l = link_get(w, ev->link);
+
+	if (!l->open[ev->to_agent])
+		return;
+	if (ev->to_agent) {
+		rev.u.msg.link = l->id;
+		rev.u.msg.msg = &ev->msg;
+		apply_agent(w, l->agent, &rev);
+	} else {
+		dev.u.msg.link = l->id;
+		dev.u.msg.msg = &ev->msg;
+		apply_entry(w, l->entry, &dev);
+	}
+}
+
+static void
+on_down(struct world *w, const struct event *ev)
+{
+	struct mlk_dispatch_event dev = { .type = MLK_DISPATCH_LINK_DOWN };
+	struct mlk_runner_event rev = { .type = MLK_RUNNER_LINK_DOWN };
+	struct wlink *l = link_get(w, ev->link);
+
+	if (!l->open[ev->to_agent])
+		return;
+	l->open[ev->to_agent] = false;
+	if (ev->to_agent) {
+		rev.u.link.link = l->id;
+		apply_agent(w, l->agent, &rev);
+	} else {
+		dev.u.link.link = l->id;
+		apply_entry(w, l->entry, &dev);
+	}
+}
+
+/* ---- orders -----------------------------------------------------------------
+ */
+
+static struct wjob *
+job_of(struct world *w, const char *id)
+{
+	return (g_hash_table_lookup(w->by_id, id));
+}
+
+/*
+ * Checks a start that a worker is about to carry out.
+ */
+static void
+check_start(struct world *w, uint32_t i, const struct mlk_run_name *name)
+{
+	struct wjob *job = job_of(w, name->id);
+	uint32_t k;
+
+	if (job == NULL) {
+		violated(w, "a start of what nobody sent", NULL);
+		return;
+	}
+	for (k = 0; k < w->options.agents; k++) {
+		if (k != i && w->agents[k].worker.up &&
+		    fake_worker_runs(
+			&w->agents[k].worker, name->id, name->index))
+			violated(w, "one run", job);
+	}
+	job->started = true;
+	w->stats.runs++;
+	if (!job->open && job->attempts > 0 && job->attempts == job->rejected)
+		violated(w, "not run", job);
+}
+
+static void
+set_speed(struct world *w, struct wagent *a)
+{
+	a->worker.speed = w->now < a->still_until ? 0.0 :
+	    w->now < a->slow_until                ? 0.2 :
+						    1.0;
+	a->worker.fails = w->now < a->fails_until;
+}
+
+/*
+ * Takes note of the runs that have been done, and answers the listings that
+ * waited for an end.
+ */
+static void
+advance_worker(struct world *w, uint32_t i)
+{
+	struct wagent *a = &w->agents[i];
+	const struct mlk_listed_end *end;
+	struct event *waiting;
+	struct wjob *job;
+	uint32_t k;
+
+	if (!a->worker.up)
+		return;
+	set_speed(w, a);
+	fake_worker_advance(&a->worker, w->now);
+	for (k = 0; k < a->worker.nends; k++) {
+		end = &a->worker.ends[k];
+		if (end->number <= a->seen_end)
+			continue;
+		a->seen_end = end->number;
+		job = job_of(w, end->name.id);
+		if (end->how == MLK_LISTED_DONE && job != NULL)
+			job->done |= 1U << end->name.index;
+	}
+	if (a->worker.over_capacity > 0)
+		violated(w, "room", NULL);
+	for (k = a->lists->len; k > 0; k--) {
+		waiting = &g_array_index(a->lists, struct event, k - 1);
+		if (w->now < waiting->at &&
+		    !fake_worker_has_ends(&a->worker, waiting->order.ack))
+			continue;
+		struct event *ev = push(w, w->now, EV_LIST_DUE, i);
+
+		ev->life = waiting->life;
+		ev->order = waiting->order;
+		ev->boot = waiting->boot;
+		ev->answered = waiting->answered;
+		(void)g_array_remove_index_fast(a->lists, k - 1);
+	}
+}
+
+static void
+answer_order(struct world *w, uint32_t i, uint64_t life, int64_t at,
+    const struct mlk_runner_event *result)
+{
+	struct event *ev;
+
+	ev = push(w, at, EV_ANSWER, i);
+	ev->life = life;
+	ev->result = *result;
+	/* The lists stay with the worker; copy them. */
+	ev->result.u.order.running = g_memdup2(result->u.order.running,
+	    result->u.order.nrunning * sizeof(*result->u.order.running));
+	ev->result.u.order.ended = g_memdup2(result->u.order.ended,
+	    result->u.order.nended * sizeof(*result->u.order.ended));
+}
+
+static void
+log_order(const struct world *w, const struct event *ev)
+{
+	static const char *const names[] = { "start", "stop", "list" };
+
+	if (getenv("MLK_WORLD_LOG") != NULL)
+		(void)fprintf(stderr,
+		    "%8" PRId64 " worker-%u %s %s.%u run %u fence %" PRIu64
+		    " until %" PRId64 " clock %" PRId64 " answered %d\n",
+		    w->now, ev->index, names[ev->order.type], ev->order.name.id,
+		    ev->order.name.index, ev->order.name.run, ev->order.fence,
+		    ev->order.lease_until_ms,
+		    fake_worker_clock(&w->agents[ev->index].worker),
+		    (int)ev->answered);
+}
+
+static void
+carry_out(struct world *w, struct event *ev)
+{
+	struct wagent *a = &w->agents[ev->index];
+	struct mlk_runner_event result;
+	struct wjob *job = NULL;
+	struct mlk_room room = { .mem_mb = 64 };
+	uint32_t work_ms = 0, before;
+
+	if (ev->order.type == MLK_ORDER_START) {
+		job = job_of(w, ev->order.name.id);
+		room.cpu = job == NULL ? 0 : job->cpu;
+		work_ms = job == NULL ? 1 : job->work_ms[ev->order.name.index];
+	}
+	before = a->worker.nruns;
+	log_order(w, ev);
+	fake_worker_order(&a->worker, &ev->order, &room, work_ms, &result);
+	if (a->worker.nruns > before)
+		check_start(w, ev->index, &ev->order.name);
+	if (ev->answered)
+		answer_order(w, ev->index, ev->life, w->now + 1, &result);
+}
+
+/*
+ * An order reaches the place of the worker.
+ */
+static void
+on_order(struct world *w, struct event *ev)
+{
+	struct wagent *a = &w->agents[ev->index];
+	struct mlk_runner_event result = { .type = MLK_RUNNER_ORDER };
+	struct event waiting;
+
+	if (!a->worker.up) {
+		if (!a->worker_refuses || !ev->answered)
+			return;
+		result.u.order.order = ev->order.order;
+		result.u.order.result = MLK_ORDER_UNREACHED;
+		answer_order(w, ev->index, ev->life, w->now + 1, &result);
+		return;
+	}
+	advance_worker(w, ev->index);
+	if (ev->order.type == MLK_ORDER_LIST && ev->order.wait_ms > 0 &&
+	    ev->order.fence >= a->worker.fence &&
+	    !fake_worker_has_ends(&a->worker, ev->order.ack)) {
+		waiting = *ev;
+		waiting.at = w->now + ev->order.wait_ms;
+		g_array_append_val(a->lists, waiting);
+		return;
+	}
+	carry_out(w, ev);
+}
+
+static void
+on_list_due(struct world *w, struct event *ev)
+{
+	struct wagent *a = &w->agents[ev->index];
+
+	if (a->worker.up && a->worker.boot == ev->boot)
+		carry_out(w, ev);
+}
+
+static void
+send_order(struct world *w, uint32_t i, struct mlk_order *order)
+{
+	struct wagent *a = &w->agents[i];
+	struct mlk_runner_event none = { .type = MLK_RUNNER_ORDER };
+	int64_t at = w->now + 1;
+	bool answered = true;
+	struct event *ev;
+
+	if (w->now < a->silent_until) {
+		answered = false;
+		at = below(w, 2) == 0 ? at : a->silent_until;
+	} else if (w->now < a->late_until && below(w, 100) < a->loss_percent) {
+		at = w->now + LATE_MIN_MS + below(w, LATE_MAX_MS - LATE_MIN_MS);
+		answered = false;
+	} else if (w->now < a->lost_until && below(w, 100) < a->loss_percent) {
+		answered = false;
+	}
+	ev = push(w, at, EV_ORDER, i);
+	ev->life = a->life;
+	ev->order = *order;
+	memset(&order->spec, 0, sizeof(order->spec));
+	ev->answered = answered;
+	ev->boot = a->worker.boot;
+	/* Comes to nothing when the order was answered before. */
+	none.u.order.order = order->order;
+	none.u.order.result = MLK_ORDER_NO_ANSWER;
+	answer_order(w, i, a->life, w->now + order->timeout_ms, &none);
+}
+
+/* ---- effects ----------------------------------------------------------------
+ */
+
+static void
+log_decision(const struct world *w, const char *who, uint32_t i,
+    const struct mlk_decision *log)
+{
+	if (getenv("MLK_WORLD_LOG") != NULL)
+		(void)fprintf(stderr, "%8" PRId64 " %s%u %s %s %s\n", w->now,
+		    who, i, log->job, log->worker, log->text);
+}
+
+static void
+reply(struct world *w, uint32_t i, uint64_t request,
+    enum mlk_work_outcome outcome)
+{
+	struct event *ev;
+
+	ev = push(w, w->now + 1, EV_REPLY, i);
+	ev->request = request;
+	ev->outcome = outcome;
+}
+
+static void
+run_entry_effects(struct world *w, uint32_t i, struct mlk_dispatch_effects *fx)
+{
+	struct mlk_dispatch_effect *f;
+	struct wlink *l;
+	size_t k;
+
+	for (k = 0; k < fx->n; k++) {
+		f = &fx->items[k];
+		switch (f->type) {
+		case MLK_DISPATCH_FX_SEND:
+			link_send(w, f->u.send.link, true, &f->u.send.msg);
+			break;
+		case MLK_DISPATCH_FX_CLOSE:
+			l = link_get(w, f->u.close.link);
+			if (l != NULL)
+				link_close(w, l, false);
+			break;
+		case MLK_DISPATCH_FX_ANSWER:
+			reply(w, i, f->u.answer.request, f->u.answer.outcome);
+			break;
+		case MLK_DISPATCH_FX_LOG:
+			log_decision(w, "entry-", i, &f->u.log);
+			break;
+		case MLK_DISPATCH_FX_CONNECT:
+		case MLK_DISPATCH_FX_EXIT:
+			break;
+		}
+	}
+}
+
+static void
+run_agent_effects(struct world *w, uint32_t i, struct mlk_runner_effects *fx)
+{
+	struct mlk_runner_effect *f;
+	struct event *ev;
+	struct wlink *l;
+	uint32_t e;
+	size_t k;
+
+	for (k = 0; k < fx->n; k++) {
+		f = &fx->items[k];
+		switch (f->type) {
+		case MLK_RUNNER_FX_SEND:
+			link_send(w, f->u.send.link, false, &f->u.send.msg);
+			break;
+		case MLK_RUNNER_FX_CONNECT:
+			e = (uint32_t)atoi(f->u.connect.addr + 7) - 1;
+			ev = push(w,
+			    w->now +
+				(w->entries[e].up &&
+					    w->now < w->cut_until[e][i][1] ?
+					CONNECT_TIMEOUT_MS :
+					2),
+			    EV_CONNECT, i);
+			ev->request = e;
+			ev->connect = f->u.connect.connect;
+			ev->life = w->agents[i].life;
+			break;
+		case MLK_RUNNER_FX_CLOSE:
+			l = link_get(w, f->u.close.link);
+			if (l != NULL)
+				link_close(w, l, true);
+			break;
+		case MLK_RUNNER_FX_ORDER:
+			send_order(w, i, &f->u.order);
+			break;
+		case MLK_RUNNER_FX_LOG:
+			log_decision(w, "agent-", i, &f->u.log);
+			break;
+		case MLK_RUNNER_FX_EXIT:
+			break;
+		}
+	}
+}
+
+/* ---- callers ----------------------------------------------------------------
+ */
+
+static struct wjob *
+job_at(struct world *w, uint32_t i)
+{
+	return (g_ptr_array_index(w->jobs, i));
+}
+
+/*
+ * The attempt is over without an answer: the caller sends again, soon after.
+ */
+static void
+resend(struct world *w, uint32_t j)
+{
+	struct wjob *job = job_at(w, j);
+
+	job->open = false;
+	if (job->over || job->attempts >= TRIES_MAX) {
+		job->over = true;
+		return;
+	}
+	push(w, w->now + RESEND_MS, EV_SUBMIT, 0)->job = j;
+}
+
+static void
+on_submit(struct world *w, const struct event *ev)
+{
+	struct mlk_dispatch_event dev = { .type = MLK_DISPATCH_SUBMIT };
+	struct mlk_step step = { 0 };
+	struct mlk_work work = { 0 };
+	struct wjob *job = job_at(w, ev->job);
+	uint32_t e = below(w, w->options.entries);
+	struct event *timer;
+
+	if (job->over)
+		return;
+	job->attempts++;
+	job->entry = e;
+	job->request = ++w->last_request;
+	if (job->sent_at == 0)
+		job->sent_at = w->now;
+	job->open = true;
+	(void)g_hash_table_insert(w->by_request,
+	    g_memdup2(&job->request, sizeof(job->request)),
+	    GUINT_TO_POINTER(ev->job + 1));
+	timer = push(w, w->now + job->deadline_ms, EV_DEADLINE, e);
+	timer->job = ev->job;
+	timer->attempt = job->attempts;
+	if (w->now < w->leave_until && below(w, 3) == 0) {
+		timer = push(w, w->now + job->goal_ms / 2, EV_LEAVE, e);
+		timer->job = ev->job;
+		timer->attempt = job->attempts;
+	}
+	if (!w->entries[e].up) {
+		resend(w, ev->job);
+		return;
+	}
+	step.count = job->count;
+	step.room.cpu = job->cpu;
+	step.room.mem_mb = 64;
+	step.estimate_ms = job->estimate_ms;
+	(void)snprintf(work.id, sizeof(work.id), "%s", job->id);
+	work.spec = (const uint8_t *)"spec";
+	work.spec_len = 4;
+	work.nsteps = 1;
+	work.steps = &step;
+	dev.u.submit.request = job->request;
+	dev.u.submit.request_id = job->id;
+	dev.u.submit.host = "h";
+	dev.u.submit.path = "/";
+	dev.u.submit.deadline_ms = job->deadline_ms;
+	dev.u.submit.work = &work;
+	apply_entry(w, e, &dev);
+}
+
+/*
+ * The caller closes its connection; the entry learns of it.
+ */
+static void
+hang_up(struct world *w, const struct wjob *job)
+{
+	struct event *ev;
+
+	ev = push(w, w->now + 1, EV_GONE, job->entry);
+	ev->request = job->request;
+	ev->life = w->entries[job->entry].life;
+}
+
+static void
+on_caller_timer(struct world *w, const struct event *ev)
+{
+	struct wjob *job = job_at(w, ev->job);
+
+	if (!job->open || job->attempts != ev->attempt)
+		return;
+	hang_up(w, job);
+	if (ev->type == EV_LEAVE && below(w, 2) == 0) {
+		w->stats.gone++;
+		job->over = true;
+	}
+	resend(w, ev->job);
+}
+
+static void
+on_reply(struct world *w, const struct event *ev)
+{
+	struct wjob *job;
+	guint j;
+
+	j = GPOINTER_TO_UINT(g_hash_table_lookup(w->by_request, &ev->request));
+	if (j == 0)
+		return;
+	job = job_at(w, j - 1);
+	if (!job->open || job->request != ev->request)
+		return;
+	switch (ev->outcome) {
+	case MLK_WORK_COMPLETED:
+		if (job->done != (1U << job->count) - 1)
+			violated(w, "whole", job);
+		w->stats.completed++;
+		if (w->now - job->sent_at <= job->goal_ms)
+			w->stats.in_goal++;
+		job->over = true;
+		break;
+	case MLK_WORK_FAILED:
+		w->stats.failed++;
+		job->over = true;
+		break;
+	case MLK_WORK_REFUSED:
+	case MLK_WORK_NO_ROUTE:
+	case MLK_WORK_INVALID:
+		w->stats.refused++;
+		job->rejected++;
+		job->over = true;
+		if (job->started && job->rejected == job->attempts)
+			violated(w, "not run", job);
+		break;
+	case MLK_WORK_BROKEN:
+	case MLK_WORK_LATE:
+		resend(w, j - 1);
+		return;
+	}
+	job->open = false;
+}
+
+static void
+on_gone(struct world *w, const struct event *ev)
+{
+	struct mlk_dispatch_event dev = { .type = MLK_DISPATCH_GONE };
+
+	if (!w->entries[ev->index].up || w->entries[ev->index].life != ev->life)
+		return;
+	dev.u.gone.request = ev->request;
+	apply_entry(w, ev->index, &dev);
+}
+
+static uint32_t
+draw_ms(struct world *w, uint32_t mean)
+{
+	uint32_t ms = mean / 2 + below(w, mean);
+
+	/* Some pieces of work are many times longer. */
+	return (below(w, 20) == 0 ? ms * 7 : ms);
+}
+
+static void
+on_arrival(struct world *w)
+{
+	static const struct {
+		uint32_t weight;
+		uint32_t count;
+		uint32_t work_ms;
+	} kinds[] = { { 25, 8, 50 }, { 15, 4, 760 }, { 60, 2, 170 } };
+	uint32_t i, k, x = below(w, 100), mean;
+	struct wjob *job;
+
+	if (!w->traffic)
+		return;
+	(void)push(w, w->now + 1 + below(w, 2 * 1000 / w->options.jobs_per_s),
+	    EV_ARRIVAL, 0);
+	for (k = 0; x >= kinds[k].weight; k++)
+		x -= kinds[k].weight;
+	job = g_new0(struct wjob, 1);
+	(void)snprintf(
+	    job->id, sizeof(job->id), "%016" PRIx64, mlk_rng_next(&w->rng));
+	job->count = 1 + below(w, kinds[k].count + kinds[k].count / 2);
+	if (job->count > TASKS_MAX)
+		job->count = TASKS_MAX;
+	job->cpu = 4500 + below(w, 3500);
+	mean = draw_ms(w, kinds[k].work_ms);
+	for (i = 0; i < job->count; i++) {
+		job->work_ms[i] = mean - mean / 8 + below(w, 1 + mean / 4);
+		if (job->goal_ms < job->work_ms[i])
+			job->goal_ms = job->work_ms[i];
+	}
+	job->estimate_ms = 1 + mean / 2 + below(w, mean + 1);
+	job->goal_ms = job->goal_ms * STRETCH / 1000 + TARGET_MS;
+	job->deadline_ms = 1500 + 3 * job->goal_ms;
+	g_ptr_array_add(w->jobs, job);
+	(void)g_hash_table_insert(w->by_id, job->id, job);
+	w->stats.jobs++;
+	push(w, w->now, EV_SUBMIT, 0)->job = w->jobs->len - 1;
+}
+
+/* ---- faults
+ * ------------------------------------------------------------------ */
+
+static void
+stop_entry(struct world *w, uint32_t i, bool silent, uint32_t ms)
+{
+	struct wentry *e = &w->entries[i];
+	struct wjob *job;
+	guint j;
+
+	if (!e->up)
+		return;
+	links_of_dead(w, i, false, silent);
+	e->up = false;
+	mlk_dispatcher_destroy(e->d);
+	e->d = NULL;
+	for (j = 0; j < w->jobs->len; j++) {
+		job = job_at(w, j);
+		if (!silent && job->open && job->entry == i)
+			resend(w, j);
+	}
+	push(w, w->now + ms, EV_RETURN, i)->fault = WORLD_ENTRY_KILL;
+}
+
+static void
+stop_agent(struct world *w, uint32_t i, bool silent, uint32_t ms)
+{
+	struct wagent *a = &w->agents[i];
+
+	if (!a->up)
+		return;
+	links_of_dead(w, i, true, silent);
+	a->up = false;
+	mlk_runner_destroy(a->r);
+	a->r = NULL;
+	push(w, w->now + ms, EV_RETURN, i)->fault = WORLD_AGENT_KILL;
+}
+
+static void
+stop_worker(struct world *w, uint32_t i, bool reborn, uint32_t ms)
+{
+	struct wagent *a = &w->agents[i];
+	struct event *ev;
+
+	if (!a->worker.up)
+		return;
+	advance_worker(w, i);
+	a->worker.up = false;
+	a->worker_refuses = below(w, 2) == 0;
+	(void)g_array_set_size(a->lists, 0);
+	ev = push(w, w->now + ms, EV_RETURN, i);
+	ev->fault = reborn ? WORLD_WORKER_REBORN : WORLD_WORKER_CRASH;
+}
+
+static void
+reset_link(struct world *w, uint32_t entry, uint32_t agent)
+{
+	struct wlink *l;
+	guint i;
+
+	for (i = 0; i < w->links->len; i++) {
+		l = g_ptr_array_index(w->links, i);
+		if (l->entry != entry || l->agent != agent)
+			continue;
+		link_close(w, l, false);
+		link_close(w, l, true);
+	}
+}
+
+static void
+extend(int64_t *until, int64_t now, uint32_t ms)
+{
+	if (*until < now + ms)
+		*until = now + ms;
+}
+
+static void
+on_fault(struct world *w, const struct event *ev)
+{
+	uint32_t a = (uint32_t)ev->request % w->options.entries;
+	uint32_t b = ev->index % w->options.agents;
+	int64_t *cuts = w->cut_until[a][b];
+
+	switch (ev->fault) {
+	case WORLD_CUT:
+		extend(&cuts[0], w->now, ev->ms);
+		extend(&cuts[1], w->now, ev->ms);
+		break;
+	case WORLD_CUT_TO_AGENT:
+		extend(&cuts[1], w->now, ev->ms);
+		break;
+	case WORLD_CUT_TO_ENTRY:
+		extend(&cuts[0], w->now, ev->ms);
+		break;
+	case WORLD_RESET:
+		reset_link(w, a, b);
+		break;
+	case WORLD_ENTRY_KILL:
+	case WORLD_ENTRY_DARK:
+		stop_entry(w, a, ev->fault == WORLD_ENTRY_DARK, ev->ms);
+		break;
+	case WORLD_ENTRY_PAUSE:
+		extend(&w->entries[a].paused_until, w->now, ev->ms);
+		break;
+	case WORLD_AGENT_KILL:
+	case WORLD_AGENT_DARK:
+		stop_agent(w, b, ev->fault == WORLD_AGENT_DARK, ev->ms);
+		break;
+	case WORLD_AGENT_PAUSE:
+		extend(&w->agents[b].paused_until, w->now, ev->ms);
+		break;
+	case WORLD_WORKER_CRASH:
+	case WORLD_WORKER_REBORN:
+		stop_worker(w, b, ev->fault == WORLD_WORKER_REBORN, ev->ms);
+		break;
+	case WORLD_WORKER_STILL:
+		extend(&w->agents[b].still_until, w->now, ev->ms);
+		break;
+	case WORLD_WORKER_SLOW:
+		extend(&w->agents[b].slow_until, w->now, ev->ms);
+		break;
+	case WORLD_WORKER_FAILS:
+		extend(&w->agents[b].fails_until, w->now, ev->ms);
+		break;
+	case WORLD_WORKER_SILENT:
+		extend(&w->agents[b].silent_until, w->now, ev->ms);
+		break;
+	case WORLD_ORDERS_LATE:
+		w->agents[b].loss_percent = below(w, 2) == 0 ? 20 : 80;
+		extend(&w->agents[b].late_until, w->now, ev->ms);
+		break;
+	case WORLD_ANSWERS_LOST:
+		w->agents[b].loss_percent = below(w, 2) == 0 ? 20 : 80;
+		extend(&w->agents[b].lost_until, w->now, ev->ms);
+		break;
+	case WORLD_CALLERS_LEAVE:
+		extend(&w->leave_until, w->now, ev->ms);
+		break;
+	case WORLD_FAULTS:
+		break;
+	}
+}
+
+static void
+on_return(struct world *w, const struct event *ev)
+{
+	char id[MLK_NAME_MAX];
+
+	switch (ev->fault) {
+	case WORLD_ENTRY_KILL:
+		start_entry(w, ev->index);
+		break;
+	case WORLD_AGENT_KILL:
+		start_agent(w, ev->index);
+		break;
+	case WORLD_WORKER_REBORN:
+		(void)snprintf(
+		    id, sizeof(id), "%s", w->agents[ev->index].worker.id);
+		start_worker(w, ev->index, id);
+		break;
+	default:
+		start_worker(w, ev->index, NULL);
+		break;
+	}
+}
+
+/* ---- the loop
+ * ---------------------------------------------------------------- */
+
+static void
+on_tick_entry(struct world *w, const struct event *ev)
+{
+	struct mlk_dispatch_event dev = { .type = MLK_DISPATCH_TICK };
+
+	if (!w->entries[ev->index].up || w->entries[ev->index].life != ev->life)
+		return;
+	apply_entry(w, ev->index, &dev);
+	push(w, w->now + TICK_MS, EV_TICK_ENTRY, ev->index)->life = ev->life;
+}
+
+static void
+on_tick_agent(struct world *w, const struct event *ev)
+{
+	struct mlk_runner_event rev = { .type = MLK_RUNNER_TICK };
+
+	if (!w->agents[ev->index].up || w->agents[ev->index].life != ev->life)
+		return;
+	apply_agent(w, ev->index, &rev);
+	push(w, w->now + TICK_MS, EV_TICK_AGENT, ev->index)->life = ev->life;
+}
+
+static void
+on_beat(struct world *w, const struct event *ev)
+{
+	struct mlk_runner_event rev = { .type = MLK_RUNNER_ANNOUNCED };
+	struct wagent *a = &w->agents[ev->index];
+	struct mlk_announcement announcement;
+
+	if (!a->worker.up)
+		return;
+	(void)push(w, w->now + BEAT_MS, EV_BEAT, ev->index);
+	if (!a->up)
+		return;
+	fake_worker_announce(&a->worker, ++a->beat_seq, &announcement);
+	rev.u.announced = &announcement;
+	apply_agent(w, ev->index, &rev);
+}
+
+static void
+on_answer(struct world *w, struct event *ev)
+{
+	if (w->agents[ev->index].up && w->agents[ev->index].life == ev->life)
+		apply_agent(w, ev->index, &ev->result);
+	g_free((gpointer)ev->result.u.order.running);
+	g_free((gpointer)ev->result.u.order.ended);
+}
+
+/*
+ * Returns until when the process that an event is for stands still.
+ */
+static int64_t
+paused_until(const struct world *w, const struct event *ev)
+{
+	switch (ev->type) {
+	case EV_TICK_ENTRY:
+	case EV_GONE:
+		return (w->entries[ev->index].paused_until);
+	case EV_TICK_AGENT:
+	case EV_ANSWER:
+	case EV_BEAT:
+		return (w->agents[ev->index].paused_until);
+	case EV_MSG:
+	case EV_DOWN:
+		return (ev->to_agent ? w->agents[ev->index].paused_until :
+				       w->entries[ev->index].paused_until);
+	case EV_SUBMIT:
+		return (0);
+	default:
+		return (0);
+	}
+}
+
+static void
+handle(struct world *w, struct event *ev)
+{
+	switch (ev->type) {
+	case EV_TICK_ENTRY:
+		on_tick_entry(w, ev);
+		break;
+	case EV_TICK_AGENT:
+		on_tick_agent(w, ev);
+		break;
+	case EV_BEAT:
+		on_beat(w, ev);
+		break;
+	case EV_SUBMIT:
+		on_submit(w, ev);
+		break;
+	case EV_DEADLINE:
+	case EV_LEAVE:
+		on_caller_timer(w, ev);
+		break;
+	case EV_MSG:
+		on_msg(w, ev);
+		break;
+	case EV_CONNECT:
+		on_connect(w, ev);
+		break;
+	case EV_DOWN:
+		on_down(w, ev);
+		break;
+	case EV_ORDER:
+		on_order(w, ev);
+		break;
+	case EV_LIST_DUE:
+		on_list_due(w, ev);
+		break;
+	case EV_ANSWER:
+		on_answer(w, ev);
+		break;
+	case EV_REPLY:
+		on_reply(w, ev);
+		break;
+	case EV_GONE:
+		on_gone(w, ev);
+		break;
+	case EV_FAULT:
+		on_fault(w, ev);
+		break;
+	case EV_RETURN:
+		on_return(w, ev);
+		break;
+	case EV_ARRIVAL:
+		on_arrival(w);
+		break;
+	case EV_RESUME:
+		break;
+	}
+}
+
+/*
+ * Handles the next event.  What is for a process that stands still waits until
+ * it goes on, in the order in which it came.
+ */
+static bool
+step(struct world *w, int64_t until)
+{
+	GSequenceIter *first;
+	struct event *ev;
+	int64_t resume;
+	uint32_t i;
+
+	first = g_sequence_get_begin_iter(w->events);
+	if (g_sequence_iter_is_end(first))
+		return (false);
+	ev = g_sequence_get(first);
+	if (ev->at > until)
+		return (false);
+	if (ev->at > w->now) {
+		w->now = ev->at;
+		for (i = 0; i < w->options.agents; i++)
+			advance_worker(w, i);
+	}
+	/* A worker's listing may have come due first. */
+	first = g_sequence_get_begin_iter(w->events);
+	ev = g_sequence_get(first);
+	resume = paused_until(w, ev);
+	if (resume > w->now) {
+		/* The process takes what has come meanwhile in any order. */
+		ev->at = resume;
+		if (ev->type == EV_TICK_ENTRY || ev->type == EV_TICK_AGENT)
+			ev->at += below(w, 3);
+		g_sequence_sort_changed(first, by_time, NULL);
+		return (true);
+	}
+	g_sequence_remove(first);
+	return (true);
+}
+
+static struct event *taken;
+
+/*
+ * The sequence hands an event over here when it is removed.
+ */
+static void
+take(gpointer data)
+{
+	taken = data;
+}
+
+static void
+run_until(struct world *w, int64_t until)
+{
+	struct event *ev;
+
+	for (;;) {
+		taken = NULL;
+		if (w->violation[0] != '\0' || !step(w, until))
+			break;
+		ev = taken;
+		if (ev == NULL)
+			continue;
+		handle(w, ev);
+		event_free(ev);
+	}
+	w->now = until > w->now ? until : w->now;
+}
+
+struct world *
+world_create(const struct world_options *options)
+{
+	struct world *w;
+	uint32_t i;
+
+	w = g_new0(struct world, 1);
+	w->options = *options;
+	mlk_rng_seed(&w->rng, options->seed);
+	w->now = 1000;
+	w->events = g_sequence_new(take);
+	w->links = g_ptr_array_new_with_free_func(g_free);
+	w->jobs = g_ptr_array_new_with_free_func(g_free);
+	w->by_request =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+	w->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+	w->last_boot = 1000;
+	w->traffic = true;
+	for (i = 0; i < options->entries; i++) {
+		w->entries[i].clock_rate = 1.0 + below(w, 100) / 1e6;
+		w->entries[i].clock_offset = below(w, 100000);
+		start_entry(w, i);
+	}
+	for (i = 0; i < options->agents; i++) {
+		w->agents[i].clock_rate = 1.0 + below(w, 100) / 1e6;
+		w->agents[i].clock_offset = below(w, 100000);
+		w->agents[i].lists =
+		    g_array_new(FALSE, FALSE, sizeof(struct event));
+		start_worker(w, i, NULL);
+		start_agent(w, i);
+	}
+	(void)push(w, w->now + 2500, EV_ARRIVAL, 0);
+	return (w);
+}
+
+void
+world_destroy(struct world *w)
+{
+	GSequenceIter *iter;
+	uint32_t i;
+
+	while (!g_sequence_is_empty(w->events)) {
+		iter = g_sequence_get_begin_iter(w->events);
+		g_sequence_remove(iter);
+		if (taken->type == EV_ANSWER) {
+			g_free((gpointer)taken->result.u.order.running);
+			g_free((gpointer)taken->result.u.order.ended);
+		}
+		event_free(taken);
+	}
+	g_sequence_free(w->events);
+	for (i = 0; i < w->options.entries; i++)
+		mlk_dispatcher_destroy(w->entries[i].d);
+	for (i = 0; i < w->options.agents; i++) {
+		mlk_runner_destroy(w->agents[i].r);
+		(void)g_array_free(w->agents[i].lists, TRUE);
+	}
+	g_hash_table_destroy(w->by_request);
+	g_hash_table_destroy(w->by_id);
+	g_ptr_array_free(w->jobs, TRUE);
+	g_ptr_array_free(w->links, TRUE);
+	g_free(w);
+}
+
+void
+world_fault(struct world *w, int64_t at, enum world_fault fault, uint32_t a,
+    uint32_t b, uint32_t ms)
+{
+	struct event *ev;
+
+	ev = push(w, at, EV_FAULT, b);
+	ev->request = a;
+	ev->fault = fault;
+	ev->ms = ms;
+}
+
+void
+world_run(struct world *w, int64_t until)
+{
+	run_until(w, until);
+}
+
+static uint32_t
+unanswered(struct world *w)
+{
+	const struct wjob *job;
+	uint32_t n = 0;
+	guint j;
+
+	for (j = 0; j < w->jobs->len; j++) {
+		job = job_at(w, j);
+		if (job->open || (!job->over && job->attempts < TRIES_MAX))
+			n++;
+	}
+	return (n);
+}
+
+void
+world_settle(struct world *w)
+{
+	int64_t end = w->now + SETTLE_MS;
+	const struct wjob *job;
+	guint j;
+
+	w->traffic = false;
+	w->leave_until = 0;
+	do {
+		run_until(w, w->now + SETTLE_STEP_MS);
+	} while (unanswered(w) > 0 && w->now < end && w->violation[0] == '\0');
+	w->stats.unanswered = unanswered(w);
+	for (j = 0; j < w->jobs->len; j++) {
+		job = job_at(w, j);
+		if (job->started && job->attempts > 0 && !job->open &&
+		    job->rejected == job->attempts)
+			violated(w, "not run", job);
+	}
+}
+
+const char *
+world_violation(const struct world *w)
+{
+	return (w->violation[0] == '\0' ? NULL : w->violation);
+}
+
+void
+world_read_stats(const struct world *w, struct world_stats *out)
+{
+	*out = w->stats;
+}
--- /dev/null
+++ b/test/fake_worker.c
@@ -0,0 +1,238 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "fake_worker.h"
+
+#define MEM_MB 131072
+#define STOP_MS 30 /* a stop takes at most 50 */
+#define LISTED_ENDS_MAX 500
+
+void
+fake_worker_init(struct fake_worker *w, const char *id, uint64_t boot,
+    uint32_t cpu, int64_t now)
+{
+	memset(w, 0, sizeof(*w));
+	(void)snprintf(w->id, sizeof(w->id), "%s", id);
+	w->boot = boot;
+	w->up = true;
+	w->capacity.cpu = cpu;
+	w->capacity.mem_mb = MEM_MB;
+	w->clock_rate = 1.0;
+	w->clock_start = 100000 + (int64_t)(boot % 7) * 1000;
+	w->speed = 1.0;
+	w->now = now;
+}
+
+int64_t
+fake_worker_clock(const struct fake_worker *w)
+{
+	return (w->clock_start + (int64_t)((double)w->now * w->clock_rate));
+}
+
+static void
+end_run(struct fake_worker *w, uint32_t i, enum mlk_listed_how how)
+{
+	struct mlk_listed_end *end;
+
+	if (w->nends == FAKE_ENDS_MAX) {
+		memmove(&w->ends[0], &w->ends[1],
+		    (FAKE_ENDS_MAX - 1) * sizeof(w->ends[0]));
+		w->nends--;
+	}
+	end = &w->ends[w->nends++];
+	end->number = ++w->last_end;
+	end->name = w->runs[i].name;
+	end->how = how;
+	w->runs[i] = w->runs[--w->nruns];
+}
+
+static void
+advance_ms(struct fake_worker *w)
+{
+	struct fake_run *run;
+	uint32_t i;
+
+	w->now++;
+	for (i = w->nruns; i > 0; i--) {
+		run = &w->runs[i - 1];
+		run->done_ms += w->speed;
+		if (run->stop_at != 0 && w->now >= run->stop_at)
+			end_run(w, i - 1, MLK_LISTED_STOPPED);
+		else if (run->done_ms >= run->work_ms)
+			end_run(w, i - 1,
+			    w->fails ? MLK_LISTED_FAILED : MLK_LISTED_DONE);
+	}
+	for (i = w->nruns; i > 0 && fake_worker_clock(w) >= w->lease_until; i--)
+		end_run(w, i - 1, MLK_LISTED_LAPSED);
+}
+
+void
+fake_worker_advance(struct fake_worker *w, int64_t now)
+{
+	while (w->now < now)
+		advance_ms(w);
+}
+
+static struct fake_run *
+find(struct fake_worker *w, const struct mlk_run_name *name)
+{
+	uint32_t i;
+
+	for (i = 0; i < w->nruns; i++) {
+		if (w->runs[i].name.index == name->index &&
+		    w->runs[i].name.step == name->step &&
+		    strcmp(w->runs[i].name.id, name->id) == 0)
+			return (&w->runs[i]);
+	}
+	return (NULL);
+}
+
+/*
+ * Returns the highest number of an ended run of a task, 0 when there is none.
+ */
+static uint32_t
+highest_ended(const struct fake_worker *w, const struct mlk_run_name *name)
+{
+	uint32_t i, highest = 0;
+
+	for (i = 0; i < w->nends; i++) {
+		if (w->ends[i].name.index == name->index &&
+		    w->ends[i].name.step == name->step &&
+		    strcmp(w->ends[i].name.id, name->id) == 0 &&
+		    w->ends[i].name.run > highest)
+			highest = w->ends[i].name.run;
+	}
+	return (highest);
+}
+
+static void
+extend_lease(struct fake_worker *w, int64_t until)
+{
+	int64_t most = fake_worker_clock(w) + FAKE_LEASE_MAX_MS;
+
+	if (until > most)
+		until = most;
+	if (until > w->lease_until)
+		w->lease_until = until;
+}
+
+static enum mlk_order_result
+start(struct fake_worker *w, const struct mlk_order *order,
+    const struct mlk_room *room, double work_ms)
+{
+	struct mlk_room used = *room;
+	struct fake_run *run;
+	uint32_t i;
+
+	run = find(w, &order->name);
+	if (run != NULL && run->name.run == order->name.run)
+		return (MLK_ORDER_OK);
+	if (order->lease_until_ms <= fake_worker_clock(w))
+		return (MLK_ORDER_LATE);
+	if (run != NULL || highest_ended(w, &order->name) >= order->name.run)
+		return (MLK_ORDER_OLD);
+	for (i = 0; i < w->nruns; i++)
+		mlk_room_add(&used, &w->runs[i].room);
+	if (!mlk_room_fits(&w->capacity, &used))
+		w->over_capacity++;
+	extend_lease(w, order->lease_until_ms);
+	run = &w->runs[w->nruns++];
+	memset(run, 0, sizeof(*run));
+	run->name = order->name;
+	run->room = *room;
+	run->work_ms = work_ms;
+	return (MLK_ORDER_OK);
+}
+
+static void
+list(struct fake_worker *w, const struct mlk_order *order,
+    struct mlk_runner_event *ev)
+{
+	uint32_t i, n = 0;
+
+	if (order->lease_until_ms > 0)
+		extend_lease(w, order->lease_until_ms);
+	while (n < w->nends && w->ends[n].number <= order->ack)
+		n++;
+	memmove(w->ends, &w->ends[n], (w->nends - n) * sizeof(w->ends[0]));
+	w->nends -= n;
+	for (i = 0; i < w->nruns; i++) {
+		w->listed[i].name = w->runs[i].name;
+		w->listed[i].percent =
+		    (uint32_t)(w->runs[i].done_ms * 100 / w->runs[i].work_ms);
+	}
+	ev->u.order.boot = w->boot;
+	ev->u.order.nrunning = w->nruns;
+	ev->u.order.running = w->listed;
+	ev->u.order.nended =
+	    w->nends > LISTED_ENDS_MAX ? LISTED_ENDS_MAX : w->nends;
+	ev->u.order.ended = w->ends;
+}
+
+void
+fake_worker_order(struct fake_worker *w, const struct mlk_order *order,
+    const struct mlk_room *room, double work_ms, struct mlk_runner_event *ev)
+{
+	struct fake_run *run;
+
+	memset(ev, 0, sizeof(*ev));
+	ev->type = MLK_RUNNER_ORDER;
+	ev->u.order.order = order->order;
+	ev->u.order.clock_ms = fake_worker_clock(w);
+	if (order->worker[0] != '\0' && strcmp(order->worker, w->id) != 0) {
+		ev->u.order.result = MLK_ORDER_OTHER_WORKER;
+		return;
+	}
+	if (order->fence < w->fence) {
+		ev->u.order.result = MLK_ORDER_FENCED;
+		return;
+	}
+	w->fence = order->fence;
+	ev->u.order.result = MLK_ORDER_OK;
+	switch (order->type) {
+	case MLK_ORDER_START:
+		ev->u.order.result = start(w, order, room, work_ms);
+		break;
+	case MLK_ORDER_STOP:
+		run = find(w, &order->name);
+		if (run != NULL && run->name.run == order->name.run &&
+		    run->stop_at == 0)
+			run->stop_at = w->now + STOP_MS;
+		break;
+	case MLK_ORDER_LIST:
+		list(w, order, ev);
+		break;
+	}
+}
+
+void
+fake_worker_announce(
+    const struct fake_worker *w, uint64_t seq, struct mlk_announcement *out)
+{
+	memset(out, 0, sizeof(*out));
+	(void)snprintf(out->info.id, sizeof(out->info.id), "%s", w->id);
+	(void)snprintf(out->info.pool, sizeof(out->info.pool), "pool-a");
+	out->info.boot = w->boot;
+	out->info.capacity = w->capacity;
+	out->seq = seq;
+	out->clock_ms = fake_worker_clock(w);
+}
+
+bool
+fake_worker_has_ends(const struct fake_worker *w, uint64_t ack)
+{
+	return (w->nends > 0 && w->ends[w->nends - 1].number > ack);
+}
+
+bool
+fake_worker_runs(const struct fake_worker *w, const char *id, uint32_t index)
+{
+	uint32_t i;
+
+	for (i = 0; i < w->nruns; i++) {
+		if (w->runs[i].name.index == index &&
+		    strcmp(w->runs[i].name.id, id) == 0)
+			return (true);
+	}
+	return (false);
+}
--- /dev/null
+++ b/test/mutations/dispatch_detached_short.sed
@@ -0,0 +1,1 @@
+s/d->now + DETACHED_NS/d->now + 100 * MS/
--- /dev/null
+++ b/test/mutations/runner_clean_early.sed
@@ -0,0 +1,1 @@
+s/r->state = MLK_WORKER_AWAY;/r->state = MLK_WORKER_AWAY; r->clean = true;/
--- /dev/null
+++ b/test/mutations/runner_room_twice.sed
@@ -0,0 +1,1 @@
+s/mlk_room_add(&r->reserved, &run->room);//
--- /dev/null
+++ b/test/test_runner.c
@@ -0,0 +1,127 @@
+/*
+ * Tests of entries, runners and workers together: scenarios of one fault, with
+ * what must hold checked at every step by dispatch_world.c.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+
+#include <cmocka.h>
+
+#include "dispatch_world.h"
+
+#define SEEDS 6
+#define FAULT_AT 6000
+#define FAULT_MS 4000
+#define END_AT 16000
+
+static const struct world_options small = { .entries = 2,
+	.agents = 4,
+	.jobs_per_s = 20,
+	.cpu = 64000 };
+
+static void
+fail_if_violated(const struct world *w, uint64_t seed)
+{
+	const char *violation = world_violation(w);
+
+	if (violation != NULL)
+		fail_msg("seed %llu: %s", (unsigned long long)seed, violation);
+}
+
+/*
+ * Runs one fault with some seeds.  Of the jobs at least `percent` are answered
+ * within their goal.
+ */
+static void
+one_fault(enum world_fault fault, uint32_t ms, uint32_t percent)
+{
+	struct world_options options = small;
+	struct world_stats stats, sum = { 0 };
+	struct world *w;
+
+	for (options.seed = 1; options.seed <= SEEDS; options.seed++) {
+		w = world_create(&options);
+		world_fault(w, FAULT_AT, fault, 0, 1, ms);
+		world_run(w, END_AT);
+		world_settle(w);
+		fail_if_violated(w, options.seed);
+		world_read_stats(w, &stats);
+		assert_int_equal(stats.unanswered, 0);
+		sum.jobs += stats.jobs;
+		sum.in_goal += stats.in_goal;
+		world_destroy(w);
+	}
+	if (sum.in_goal * 100 < sum.jobs * percent)
+		fail_msg("%u of %u jobs in their goal", sum.in_goal, sum.jobs);
+}
+
+static void
+test_calm(void **state)
+{
+	(void)state;
+	one_fault(WORLD_FAULTS, 0, 97);
+}
+
+#define FAULT_TEST(name, fault, ms, percent)   \
+	static void name(void **state)         \
+	{                                      \
+		(void)state;                   \
+		one_fault(fault, ms, percent); \
+	}
+
+/* Each guards against a second run, a lie, or a job without an answer. */
+FAULT_TEST(test_cut, WORLD_CUT, FAULT_MS, 60)
+FAULT_TEST(test_cut_to_agent, WORLD_CUT_TO_AGENT, FAULT_MS, 60)
+FAULT_TEST(test_cut_to_entry, WORLD_CUT_TO_ENTRY, FAULT_MS, 60)
+FAULT_TEST(test_reset, WORLD_RESET, 0, 90)
+FAULT_TEST(test_entry_kill, WORLD_ENTRY_KILL, FAULT_MS, 70)
+FAULT_TEST(test_entry_dark, WORLD_ENTRY_DARK, FAULT_MS, 70)
+FAULT_TEST(test_entry_pause, WORLD_ENTRY_PAUSE, FAULT_MS, 70)
+FAULT_TEST(test_entry_short_pause, WORLD_ENTRY_PAUSE, 950, 90)
+FAULT_TEST(test_agent_kill, WORLD_AGENT_KILL, FAULT_MS, 85)
+FAULT_TEST(test_agent_dark, WORLD_AGENT_DARK, FAULT_MS, 85)
+FAULT_TEST(test_agent_pause, WORLD_AGENT_PAUSE, FAULT_MS, 85)
+FAULT_TEST(test_agent_short_pause, WORLD_AGENT_PAUSE, 950, 90)
+FAULT_TEST(test_worker_crash, WORLD_WORKER_CRASH, FAULT_MS, 85)
+FAULT_TEST(test_worker_reborn, WORLD_WORKER_REBORN, 300, 85)
+FAULT_TEST(test_worker_still, WORLD_WORKER_STILL, FAULT_MS, 85)
+FAULT_TEST(test_worker_slow, WORLD_WORKER_SLOW, FAULT_MS, 85)
+FAULT_TEST(test_worker_fails, WORLD_WORKER_FAILS, FAULT_MS, 85)
+FAULT_TEST(test_worker_silent, WORLD_WORKER_SILENT, FAULT_MS, 80)
+FAULT_TEST(test_orders_late, WORLD_ORDERS_LATE, FAULT_MS, 85)
+FAULT_TEST(test_answers_lost, WORLD_ANSWERS_LOST, FAULT_MS, 85)
+FAULT_TEST(test_callers_leave, WORLD_CALLERS_LEAVE, FAULT_MS, 60)
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_calm),
+		cmocka_unit_test(test_cut),
+		cmocka_unit_test(test_cut_to_agent),
+		cmocka_unit_test(test_cut_to_entry),
+		cmocka_unit_test(test_reset),
+		cmocka_unit_test(test_entry_kill),
+		cmocka_unit_test(test_entry_dark),
+		cmocka_unit_test(test_entry_pause),
+		cmocka_unit_test(test_entry_short_pause),
+		cmocka_unit_test(test_agent_kill),
+		cmocka_unit_test(test_agent_dark),
+		cmocka_unit_test(test_agent_pause),
+		cmocka_unit_test(test_agent_short_pause),
+		cmocka_unit_test(test_worker_crash),
+		cmocka_unit_test(test_worker_reborn),
+		cmocka_unit_test(test_worker_still),
+		cmocka_unit_test(test_worker_slow),
+		cmocka_unit_test(test_worker_fails),
+		cmocka_unit_test(test_worker_silent),
+		cmocka_unit_test(test_orders_late),
+		cmocka_unit_test(test_answers_lost),
+		cmocka_unit_test(test_callers_leave),
+	};
+
+	return (cmocka_run_group_tests(tests, NULL, NULL));
+}
--- a/test/test_wire.c
+++ b/test/test_wire.c
@@ -302,6 +302,141 @@
 		fill_peer(&m->u.peers.peers[i]);
 }
 
+static void
+fill_room(struct mlk_room *r)
+{
+	r->cpu = u32();
+	r->mem_mb = u32();
+	r->gpu = u32();
+}
+
+static void
+fill_want(struct mlk_want *w)
+{
+	w->tasks = u32();
+	w->urgency_ms = u32();
+	fill_room(&w->room);
+}
+
+static void
+fill_worker(struct mlk_msg *m)
+{
+	m->u.worker.sent_at = u64();
+	m->u.worker.seen = u64();
+	m->u.worker.routing_version = u64();
+	TEXT(m->u.worker.info.id);
+	m->u.worker.info.boot = u64();
+	TEXT(m->u.worker.info.pool);
+	TEXT(m->u.worker.info.labels);
+	m->u.worker.info.state = MLK_WORKER_AWAY;
+	fill_room(&m->u.worker.info.capacity);
+	fill_room(&m->u.worker.load.free);
+	m->u.worker.load.running = u32();
+}
+
+static void
+fill_run(struct mlk_msg *m)
+{
+	uint32_t i;
+
+	m->u.run.sent_at = u64();
+	m->u.run.seq = u64();
+	m->u.run.job = u64();
+	TEXT(m->u.run.id);
+	m->u.run.step = MLK_STEPS_MAX - 1;
+	m->u.run.deadline_ms = u32();
+	m->u.run.offer = u64();
+	fill_want(&m->u.run.want);
+	m->u.run.expected_ms = u32();
+	m->u.run.movable = 1;
+	fill_blob(&m->u.run.spec);
+	m->u.run.n = ITEMS;
+	m->u.run.tasks = items(sizeof(*m->u.run.tasks));
+	for (i = 0; i < ITEMS; i++) {
+		m->u.run.tasks[i].index = MLK_TASKS_MAX - 1 - i;
+		fill_room(&m->u.run.tasks[i].room);
+	}
+}
+
+static void
+fill_ends(struct mlk_msg *m)
+{
+	struct mlk_run_result *r;
+	uint32_t i;
+
+	m->u.ends.sent_at = u64();
+	m->u.ends.seen = u64();
+	fill_room(&m->u.ends.load.free);
+	m->u.ends.load.running = u32();
+	m->u.ends.n = ITEMS;
+	m->u.ends.items = items(sizeof(*r));
+	for (i = 0; i < ITEMS; i++) {
+		r = &m->u.ends.items[i];
+		r->job = u64();
+		r->step = i;
+		r->index = i;
+		r->end = MLK_RUN_STALLED - i;
+		r->run_ms = u32();
+	}
+}
+
+static void
+fill_routes(struct mlk_routing *r)
+{
+	uint32_t i;
+
+	r->version = u64();
+	r->nroutes = ITEMS;
+	r->routes = items(sizeof(*r->routes));
+	for (i = 0; i < ITEMS; i++) {
+		TEXT(r->routes[i].name);
+		TEXT(r->routes[i].host);
+		TEXT(r->routes[i].prefix);
+		TEXT(r->routes[i].pool);
+		r->routes[i].timeout_ms = u32();
+		r->routes[i].target_ms = u32();
+		r->routes[i].priority = u32();
+		r->routes[i].attempts = u32();
+		r->routes[i].stretch = u32();
+	}
+	r->npools = ITEMS;
+	r->pools = items(sizeof(*r->pools));
+	for (i = 0; i < ITEMS; i++) {
+		TEXT(r->pools[i].name);
+		TEXT(r->pools[i].health_path);
+		r->pools[i].guards_room = i & 1;
+	}
+	r->max_body_bytes = u32();
+	r->header_timeout_ms = u32();
+	r->idle_timeout_ms = u32();
+}
+
+/* Messages of the dispatch library without an array. */
+static void
+fill_small(struct mlk_msg *m)
+{
+	if (m->type == MLK_MSG_ATTACH) {
+		TEXT(m->u.attach.id);
+		m->u.attach.incarnation = u64();
+		TEXT(m->u.attach.dc);
+	} else if (m->type == MLK_MSG_WANT) {
+		m->u.want.sent_at = u64();
+		m->u.want.offer = u64();
+		fill_want(&m->u.want.want);
+	} else if (m->type == MLK_MSG_OFFER) {
+		m->u.offer.sent_at = u64();
+		m->u.offer.offer = u64();
+		fill_room(&m->u.offer.room);
+	} else if (m->type == MLK_MSG_DROP) {
+		m->u.drop.sent_at = u64();
+		m->u.drop.job = u64();
+	} else {
+		m->u.ping.sent_at = u64();
+		m->u.ping.echo = u64();
+		m->u.ping.routing_version = u64();
+	}
+}
+
 /* Fills every field of a message of the given type. */
 static void
 fill(struct mlk_msg *m, enum mlk_msg_type type)
@@ -358,6 +493,25 @@
 	case MLK_MSG_PEERS:
 		fill_peers(m);
 		break;
+	case MLK_MSG_WORKER:
+		fill_worker(m);
+		break;
+	case MLK_MSG_RUN:
+		fill_run(m);
+		break;
+	case MLK_MSG_ENDS:
+		fill_ends(m);
+		break;
+	case MLK_MSG_ROUTES:
+		fill_routes(&m->u.routes);
+		break;
+	case MLK_MSG_ATTACH:
+	case MLK_MSG_WANT:
+	case MLK_MSG_OFFER:
+	case MLK_MSG_DROP:
+	case MLK_MSG_PING:
+		fill_small(m);
+		break;
 	default:
 		break;
 	}
@@ -433,6 +587,23 @@
 	case MLK_MSG_PEERS:
 		SAME_ITEMS(&a->u.peers, &b->u.peers, peers, n);
 		break;
+	case MLK_MSG_RUN:
+		same_blob(&a->u.run.spec, &b->u.run.spec);
+		SAME_ITEMS(&a->u.run, &b->u.run, tasks, n);
+		break;
+	case MLK_MSG_ENDS:
+		SAME_ITEMS(&a->u.ends, &b->u.ends, items, n);
+		break;
+	case MLK_MSG_ROUTES:
+		assert_int_equal(a->u.routes.nroutes, b->u.routes.nroutes);
+		assert_int_equal(a->u.routes.npools, b->u.routes.npools);
+		assert_memory_equal(a->u.routes.routes, b->u.routes.routes,
+		    ITEMS * sizeof(*a->u.routes.routes));
+		assert_memory_equal(a->u.routes.pools, b->u.routes.pools,
+		    ITEMS * sizeof(*a->u.routes.pools));
+		mlk_routing_clear(&a->u.routes);
+		mlk_routing_clear(&b->u.routes);
+		break;
 	default:
 		break;
 	}
