dispatch: serve the first moments after a start

Requests now wait for the routing table, jobs for agents, 3 s at most; links are tried again after 60 ms, and an attempt is given up after 0.4 s.

--- a/src/dispatch/dispatcher.c
+++ b/src/dispatch/dispatcher.c
@@ -47,6 +47,7 @@
 	d->paces =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	d->queue = g_sequence_new(NULL);
+	g_queue_init(&d->parked);
 	for (i = 0; i < options->nentries; i++)
 		(void)dispatch_peer_learn(d, options->entries[i], true);
 	return (d);
@@ -58,6 +59,7 @@
 	if (d == NULL)
 		return;
 	g_sequence_free(d->queue);
+	g_queue_clear_full(&d->parked, dispatch_parked_free);
 	g_hash_table_destroy(d->paces);
 	g_hash_table_destroy(d->by_request);
 	g_hash_table_destroy(d->by_id);
@@ -105,6 +107,8 @@
 {
 	int64_t gap;
 
+	if (d->created == 0)
+		d->created = now;
 	gap = d->now == 0 ? 0 : now - d->now;
 	d->now = now;
 	if (gap >= PAUSE_NS) {
@@ -204,6 +208,7 @@
 		dispatch_peers_due(d);
 		dispatch_agents_due(d);
 		dispatch_jobs_due(d);
+		dispatch_parked_due(d);
 		d->place = true;
 	}
 	dispatch_place(d);
--- a/src/dispatch/dispatcher_jobs.c
+++ b/src/dispatch/dispatcher_jobs.c
@@ -327,8 +327,8 @@
 /*
  * Refuses a request of which nothing was done.
  */
-static void
-refuse(struct mlk_dispatcher *d, const struct mlk_dispatch_event *ev,
+void
+dispatch_refuse(struct mlk_dispatcher *d, const struct mlk_dispatch_event *ev,
     enum mlk_work_outcome outcome, const char *cause)
 {
 	struct mlk_dispatch_effect *fx;
@@ -349,6 +349,16 @@
 	    fx->u.log.text, sizeof(fx->u.log.text), "refused: %s", cause);
 }
 
+/*
+ * Tells whether this process has started just now: what it needs is on the
+ * way.
+ */
+bool
+dispatch_warming_up(const struct mlk_dispatcher *d)
+{
+	return (d->now - d->created < WARM_UP_NS);
+}
+
 /*
  * Returns why a request cannot be taken, or NULL.
  */
@@ -362,7 +372,7 @@
 		return ("too many jobs at work");
 	if (d->pause > 0 && d->pause >= (int64_t)ev->u.submit.deadline_ms * MS)
 		return ("it may have waited here past its deadline");
-	if (!dispatch_pool_ready(d, route->pool))
+	if (!dispatch_pool_ready(d, route->pool) && !dispatch_warming_up(d))
 		return ("no worker of its pool can be reached");
 	return (NULL);
 }
@@ -379,17 +389,19 @@
 	struct job *job;
 
 	if (d->routing.version == 0) {
-		refuse(d, ev, MLK_WORK_REFUSED, "no routing table yet");
+		if (!dispatch_warming_up(d) || !dispatch_park(d, ev))
+			dispatch_refuse(
+			    d, ev, MLK_WORK_REFUSED, "no routing table yet");
 		return;
 	}
 	route = mlk_routing_match(
 	    &d->routing, ev->u.submit.host, ev->u.submit.path);
 	if (route == NULL) {
-		refuse(d, ev, MLK_WORK_NO_ROUTE, "no route");
+		dispatch_refuse(d, ev, MLK_WORK_NO_ROUTE, "no route");
 		return;
 	}
 	if (ev->u.submit.work == NULL) {
-		refuse(d, ev, MLK_WORK_INVALID, "malformed");
+		dispatch_refuse(d, ev, MLK_WORK_INVALID, "malformed");
 		return;
 	}
 	job = g_hash_table_lookup(d->by_id, ev->u.submit.work->id);
@@ -401,7 +413,7 @@
 	cause = job != NULL ? "too many requests for one job" :
 			      refusal(d, ev, route);
 	if (cause != NULL) {
-		refuse(d, ev, MLK_WORK_REFUSED, cause);
+		dispatch_refuse(d, ev, MLK_WORK_REFUSED, cause);
 		return;
 	}
 	d->counters.jobs++;
@@ -420,6 +432,8 @@
 	struct job *job;
 	uint32_t i;
 
+	if (dispatch_parked_gone(d, request))
+		return;
 	job = g_hash_table_lookup(d->by_request, &request);
 	if (job == NULL)
 		return;
--- a/src/dispatch/dispatcher_links.c
+++ b/src/dispatch/dispatcher_links.c
@@ -233,6 +233,7 @@
 	dispatch_log(d, MLK_LOG_NOTICE, NULL, NULL,
 	    "routing table %" PRIu64 " in force, %u routes", d->routing.version,
 	    d->routing.nroutes);
+	dispatch_unpark(d);
 }
 
 /*
--- a/src/dispatch/dispatcher_priv.h
+++ b/src/dispatch/dispatcher_priv.h
@@ -33,8 +33,8 @@
 #define DETACHED_NS (1250 * MS)
 #define PEER_BEAT_NS (500 * MS)
 #define PEER_SILENT_NS (2500 * MS)
-#define CONNECT_RETRY_NS (500 * MS)
-#define CONNECT_RETRY_MAX_NS (4000 * MS)
+#define CONNECT_RETRY_NS (100 * MS)
+#define CONNECT_RETRY_MAX_NS (2000 * MS)
 #define PEER_FORGET_NS (60000 * MS)
 /* An event that comes so long after the one before tells of a pause. */
 #define PAUSE_NS (250 * MS)
@@ -44,6 +44,12 @@
  */
 #define PAUSE_GRACE_NS (150 * MS)
 #define RETRY_AFTER_MS 1000
+/*
+ * After its start an entry has a routing table within 0.1 s and agents within
+ * 1 to 2 s, so that a job does better to wait than to be refused.
+ */
+#define WARM_UP_NS (3000 * MS)
+#define PARKED_MAX 1000U /* requests that wait for the routing table */
 /*
  * After a stop began, the balancer's checks, one a second of which two must
  * fail, still send new connections for so long.
@@ -156,10 +162,23 @@
 	GSequenceIter *place; /* in the queue; NULL: nothing is queued */
 };
 
+/* A request that came before the routing table. */
+struct parked {
+	uint64_t request;
+	char request_id[MLK_NAME_MAX];
+	char host[MLK_HOST_MAX];
+	char path[MLK_HOST_MAX];
+	uint32_t deadline_ms;
+	int64_t arrived;
+	struct mlk_work work; /* owns its spec and steps */
+	bool valid; /* it has work */
+};
+
 struct mlk_dispatcher {
 	struct mlk_dispatcher_options options;
 	struct mlk_dispatch_counters counters;
 	struct mlk_rng rng;
+	int64_t created; /* time of the first event */
 	int64_t now;
 	int64_t paused_until; /* silence is not judged before */
 	int64_t pause; /* length of the last pause; 0 once it is past */
@@ -172,6 +191,7 @@
 	GHashTable *by_id; /* id -> struct job */
 	GHashTable *by_request; /* request -> struct job */
 	uint64_t last_job;
+	GQueue parked; /* struct parked */
 	GHashTable *paces; /* route name -> struct pace */
 	GSequence *queue; /* struct job with queued tasks, most urgent first */
 	uint32_t nqueued; /* tasks */
@@ -193,7 +213,19 @@
 /* dispatcher_jobs.c */
 void dispatch_submit(
     struct mlk_dispatcher *d, const struct mlk_dispatch_event *ev);
+void dispatch_refuse(struct mlk_dispatcher *d,
+    const struct mlk_dispatch_event *ev, enum mlk_work_outcome outcome,
+    const char *cause);
 void dispatch_gone(struct mlk_dispatcher *d, uint64_t request);
+bool dispatch_warming_up(const struct mlk_dispatcher *d);
+
+/* dispatcher_parked.c */
+bool dispatch_park(
+    struct mlk_dispatcher *d, const struct mlk_dispatch_event *ev);
+void dispatch_unpark(struct mlk_dispatcher *d);
+bool dispatch_parked_gone(struct mlk_dispatcher *d, uint64_t request);
+void dispatch_parked_due(struct mlk_dispatcher *d);
+void dispatch_parked_free(gpointer data);
 void dispatch_task_ended(struct mlk_dispatcher *d, struct task *task,
     enum mlk_run_end end, uint32_t run_ms);
 void dispatch_task_detach(struct mlk_dispatcher *d, struct task *task);
--- a/src/dispatch/runner_priv.h
+++ b/src/dispatch/runner_priv.h
@@ -62,8 +62,12 @@
 #define BEAT_BUSY_NS (250 * MS) /* of WORKER, while the entry has runs here */
 #define BEAT_IDLE_NS (1000 * MS)
 #define LINK_SILENT_NS (3000 * MS) /* then an idle link is closed */
-#define CONNECT_RETRY_NS (500 * MS)
-#define CONNECT_RETRY_MAX_NS (4000 * MS)
+/*
+ * After a loss of power everything starts within a second, in any order: an
+ * entry that refused is tried again soon, one that stays away more seldom.
+ */
+#define CONNECT_RETRY_NS (60 * MS)
+#define CONNECT_RETRY_MAX_NS (1000 * MS)
 /* An entry that was learned and not reached for so long is forgotten. */
 #define ENTRY_FORGET_NS (60000 * MS)
 
--- a/src/net/link.c
+++ b/src/net/link.c
@@ -8,6 +8,11 @@
 
 #define QUEUE_MAX (64U * 1024 * 1024) /* bytes; above it the link is closed */
 #define QUEUE_KEEP (256U * 1024) /* a larger empty buffer is freed */
+/*
+ * A first packet that found nobody is sent again after 1 s only.  Whoever
+ * starts meanwhile is reached sooner by a new attempt.
+ */
+#define CONNECT_TIMEOUT_US (400 * LWS_US_PER_MS)
 #define CLOSE_FLUSH_S 2 /* time to write out the queue of a closed link */
 
 struct mlk_link {
@@ -20,6 +25,7 @@
 	GByteArray *queue;
 	size_t sent; /* bytes of queue */
 	size_t queue_peak;
+	lws_sorted_usec_list_t connect_timer;
 	bool starting; /* inside lws_client_connect_via_info() */
 	bool closing; /* closed by this side; no more messages */
 	bool dead; /* its socket is gone */
@@ -42,6 +48,8 @@
 static void
 link_free(struct mlk_link *link)
 {
+	lws_sul_schedule(link->loop->context, 0, &link->connect_timer, NULL,
+	    LWS_SET_TIMER_USEC_CANCEL);
 	mlk_reader_destroy(link->reader);
 	g_byte_array_free(link->queue, TRUE);
 	g_free(link);
@@ -270,6 +278,20 @@
 	g_queue_push_tail(&loop->connects, link);
 }
 
+/*
+ * An attempt to connect takes too long.
+ */
+static void
+on_connect_timeout(lws_sorted_usec_list_t *sul)
+{
+	struct mlk_link *link;
+
+	link = lws_container_of(sul, struct mlk_link, connect_timer);
+	if (link->handle == 0 && link->wsi != NULL)
+		lws_set_timeout(link->wsi, PENDING_TIMEOUT_USER_OK,
+		    LWS_TO_KILL_ASYNC);
+}
+
 static void
 start_connect(struct mlk_link *link)
 {
@@ -296,8 +318,13 @@
 	link->starting = true;
 	wsi = lws_client_connect_via_info(&info);
 	link->starting = false;
+	if (!link->dead && link->wsi == NULL)
+		link->wsi = wsi;
 	if (wsi == NULL || link->dead)
 		link_down(link);
+	else if (link->handle == 0)
+		lws_sul_schedule(link->loop->context, 0, &link->connect_timer,
+		    on_connect_timeout, CONNECT_TIMEOUT_US);
 }
 
 /*
--- a/test/test_dispatcher.c
+++ b/test/test_dispatcher.c
@@ -107,11 +107,46 @@
 	struct dispatch_bench *b = *state;
 	uint64_t request;
 
+	bench_pass(b, 4000);
 	request = bench_submit(b, "job", 1, 6000, 2000);
 	expect_answer(b, request, MLK_WORK_REFUSED);
 	assert_int_equal(bench_answer_to(b, request)->retry_after_ms, 1000);
 }
 
+/*
+ * Guards against callers who are refused in the first moments after a start,
+ * although the routing table and the agents are on their way.
+ */
+static void
+test_first_moments_after_a_start(void **state)
+{
+	struct dispatch_bench fresh, *b = &fresh;
+	uint64_t served, left, lost;
+	struct bench_agent a;
+
+	(void)state;
+	bench_init(b);
+	served = bench_submit(b, "served", 1, 6000, 2000);
+	left = bench_submit(b, "left", 1, 6000, 2000);
+	bench_gone(b, left);
+	bench_routes(b, 1, 2);
+	assert_null(bench_answer_to(b, served));
+	bench_pass(b, 100);
+	bench_attach(b, &a, "agent-1", "dc-a", CPU);
+	assert_int_equal(bench_sent_tasks(b, &a), 1);
+	bench_end(b, &a, 1, 0, MLK_RUN_DONE);
+	expect_answer(b, served, MLK_WORK_COMPLETED);
+	bench_free(b);
+
+	bench_init(b);
+	lost = bench_submit(b, "lost", 1, 6000, 9000);
+	bench_pass(b, 2900);
+	assert_null(bench_answer_to(b, lost));
+	bench_pass(b, 200);
+	expect_answer(b, lost, MLK_WORK_REFUSED);
+	bench_free(b);
+}
+
 /*
  * Guards against "not run" for a job of which a run was under way when its
  * deadline passed.
@@ -398,6 +433,7 @@
 		TEST(test_failed_job_stops_the_rest),
 		TEST(test_failed_task_goes_elsewhere),
 		TEST(test_refused_at_once_without_workers),
+		TEST(test_first_moments_after_a_start),
 		TEST(test_deadline_tells_the_truth),
 		TEST(test_lost_link_waits_for_leases),
 		TEST(test_attach_ends_the_wait),
