--- a/src/dispatch/dispatcher_agents.c
+++ b/src/dispatch/dispatcher_agents.c
@@ -132,11 +132,12 @@
 	a->heard = d->now;
 	a->echo = msg->u.worker.sent_at;
 	if (!a->known || info->state != a->info.state ||
-	    info->boot != a->info.boot)
+	    info->boot != a->info.boot) {
 		dispatch_log(d, MLK_LOG_INFO, NULL, a->id,
 		    "worker %s boot %" PRIu64 " state %d, cpu %u of %u free",
 		    info->id, info->boot, (int)info->state,
 		    msg->u.worker.load.free.cpu, info->capacity.cpu);
+	}
 	/* The agent takes no work before it can tell the age of messages. */
 	if (!a->known)
 		ping(d, a);
--- a/src/dispatch/dispatcher_parked.c
+++ b/src/dispatch/dispatcher_parked.c
@@ -83,10 +83,11 @@
 	while ((p = g_queue_pop_head(&d->parked)) != NULL) {
 		waited_ms = (uint32_t)((d->now - p->arrived) / MS);
 		event_of(p, &ev);
-		if (p->deadline_ms != 0)
+		if (p->deadline_ms != 0) {
 			ev.u.submit.deadline_ms = p->deadline_ms > waited_ms ?
 			    p->deadline_ms - waited_ms :
 			    1;
+		}
 		dispatch_submit(d, &ev);
 		dispatch_parked_free(p);
 	}
--- a/src/dispatch/runner_links.c
+++ b/src/dispatch/runner_links.c
@@ -116,10 +116,11 @@
 	e->reached_at = r->now;
 	e->retry_at = r->now + CONNECT_RETRY_NS;
 	e->retry_ns = CONNECT_RETRY_NS;
-	if (e->nruns > 0)
+	if (e->nruns > 0) {
 		runner_log(r, MLK_LOG_NOTICE, NULL,
 		    "link with entry %s ended, %u runs are stopped", e->addr,
 		    e->nruns);
+	}
 	stop_runs_of(r, e);
 }
 
--- a/src/dispatch/runner_worker.c
+++ b/src/dispatch/runner_worker.c
@@ -136,10 +136,11 @@
 	w->info = a->info;
 	w->seq = a->seq;
 	runner_clock(r, a->clock_ms);
-	if (draining)
+	if (draining) {
 		runner_log(r, MLK_LOG_NOTICE, NULL,
 		    "the worker leaves, %u runs at work, %u ms remain",
 		    r->nactive, a->remaining_ms);
+	}
 }
 
 /*
@@ -178,10 +179,11 @@
 {
 	struct worker *w = &r->worker;
 
-	if (runner_away(r))
+	if (runner_away(r)) {
 		runner_log(r, MLK_LOG_NOTICE, NULL,
 		    "the worker answers again after %" PRId64 " ms",
 		    (r->now - w->unanswered_since) / MS);
+	}
 	w->answered_at = r->now;
 	w->unanswered_since = 0;
 	w->refused = 0;
--- a/test/dispatch_bench.c
+++ b/test/dispatch_bench.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include <cmocka.h>
+#include <glib.h>
 
 #include "dispatch_bench.h"
 
@@ -125,7 +126,8 @@
 	msg.u.worker.info.state = state;
 	msg.u.worker.info.boot = 1;
 	msg.u.worker.info.capacity = a->capacity;
-	strcpy(msg.u.worker.info.id, a->id);
+	(void)g_strlcpy(
+	    msg.u.worker.info.id, a->id, sizeof(msg.u.worker.info.id));
 	strcpy(msg.u.worker.info.pool, BENCH_POOL);
 	msg.u.worker.load.free = a->free;
 	msg.u.worker.load.running = a->running;
@@ -147,7 +149,7 @@
 	a->free = a->capacity;
 	ev.u.link.link = a->link;
 	bench_apply(b, &ev);
-	strcpy(msg.u.attach.id, a->id);
+	(void)g_strlcpy(msg.u.attach.id, a->id, sizeof(msg.u.attach.id));
 	snprintf(msg.u.attach.dc, sizeof(msg.u.attach.dc), "%s", dc);
 	msg.u.attach.incarnation = a->link;
 	deliver(b, a->link, &msg);
--- a/test/dispatch_world.c
+++ b/test/dispatch_world.c
@@ -325,11 +325,12 @@
 	char fresh[MLK_NAME_MAX];
 
 	w->last_boot += 1 + below(w, 5);
-	if (id == NULL)
+	if (id == NULL) {
 		(void)snprintf(fresh, sizeof(fresh), "worker-%u-%" PRIu64, i,
 		    w->last_boot);
-	else
+	} else {
 		(void)snprintf(fresh, sizeof(fresh), "%s", id);
+	}
 	fake_worker_init(
 	    &a->worker, fresh, w->last_boot, w->options.cpu, w->now);
 	a->worker.clock_rate = 0.98 + below(w, 20) / 1000.0;
@@ -607,7 +608,7 @@
 {
 	static const char *const names[] = { "start", "stop", "list" };
 
-	if (getenv("MLK_WORLD_LOG") != NULL)
+	if (getenv("MLK_WORLD_LOG") != NULL) {
 		(void)fprintf(stderr,
 		    "%8" PRId64 " worker-%u %s %s.%u run %u fence %" PRIu64
 		    " until %" PRId64 " clock %" PRId64 " answered %d\n",
@@ -616,6 +617,7 @@
 		    ev->order.lease_until_ms,
 		    fake_worker_clock(&w->agents[ev->index].worker),
 		    (int)ev->answered);
+	}
 }
 
 static void
@@ -1250,7 +1252,6 @@
 		return (ev->to_agent ? w->agents[ev->index].paused_until :
 				       w->entries[ev->index].paused_until);
 	case EV_SUBMIT:
-		return (0);
 	default:
 		return (0);
 	}
