dispatch: an agent that sends offers is not silent

Cause: at a backlog an agent answers WANT with OFFER, each of which puts its next WORKER off, while the entry counted only WORKER and ENDS as signs of life.

--- a/src/dispatch/dispatcher_place.c
+++ b/src/dispatch/dispatcher_place.c
@@ -372,6 +372,8 @@
 	struct job *job;
 	guint i;
 
+	a->heard = d->now;
+	a->echo = msg->u.offer.sent_at;
 	order = dispatch_queue_order(d);
 	for (i = 0;
 	     d->now >= d->paused_until && i < order->len && reply == NULL;
--- a/test/test_dispatcher.c
+++ b/test/test_dispatcher.c
@@ -339,6 +339,31 @@
 	assert_int_equal(msg->u.want.want.tasks, 0);
 }
 
+/*
+ * Guards against a crest that cuts the links: an agent that answers wants with
+ * offers has no cause to report its worker too, and is not silent.
+ */
+static void
+test_offers_are_heard(void **state)
+{
+	struct dispatch_bench *b = *state;
+	struct mlk_dispatch_gauges gauges;
+	struct bench_agent a;
+	uint32_t i;
+
+	bench_attach(b, &a, "agent-1", "dc-a", CPU);
+	(void)bench_submit(b, "job", 1, 6000, 30000);
+	for (i = 1; i <= 20; i++) {
+		bench_pass(b, 100);
+		bench_offer(b, &a, i, 6000);
+	}
+	mlk_dispatch_gauges(b->d, &gauges);
+	assert_int_equal(gauges.agents, 1);
+	bench_pass(b, 800);
+	mlk_dispatch_gauges(b->d, &gauges);
+	assert_int_equal(gauges.agents, 0);
+}
+
 /*
  * Guards against a backlog that makes every job late: at a crest, a job that
  * has missed its goal gives way to one that can still meet its own.
@@ -452,6 +477,7 @@
 		TEST(test_room_is_not_sent_twice),
 		TEST(test_offer_goes_to_most_urgent),
 		TEST(test_offer_without_need_is_passed),
+		TEST(test_offers_are_heard),
 		TEST(test_missed_jobs_give_way),
 		TEST(test_useless_jobs_are_refused),
 		TEST(test_routing_never_falls),
