dispatch: look at the whole queue once a tick while there is a backlog

Cause: every message of an agent put the queue in order anew (an array of all jobs) and tried 24 jobs at each of 53 workers; with hundreds of jobs waiting after a loss of power an entry of 0.12 cores fell seconds behind its messages.

The queue is walked in place from the first job that is in time. After a look that left some of it, only workers whose load was told and jobs that are new are looked at until the next tick, and what is wanted is worked out once a pool.

--- a/include/monsoonlock/dispatch.h
+++ b/include/monsoonlock/dispatch.h
@@ -423,6 +423,7 @@
 	X(abandoned, "Jobs whose caller left")                             \
 	X(tasks_sent, "Tasks sent to agents")                              \
 	X(tasks_busy, "Tasks that came back for lack of room")             \
+	X(looks, "Jobs and workers looked at for a place")                 \
 	X(wants, "Messages that asked for room")                           \
 	X(offers_taken, "Offers of room that were used")                   \
 	X(offers_passed, "Offers of room that were not")                   \
--- a/src/dispatch/dispatcher.c
+++ b/src/dispatch/dispatcher.c
@@ -47,6 +47,8 @@
 	d->paces =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	d->queue = g_sequence_new(NULL);
+	d->roomier = g_ptr_array_new();
+	d->fresh = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	g_queue_init(&d->parked);
 	for (i = 0; i < options->nentries; i++)
 		(void)dispatch_peer_learn(d, options->entries[i], true);
@@ -59,6 +61,8 @@
 	if (d == NULL)
 		return;
 	g_sequence_free(d->queue);
+	(void)g_ptr_array_free(d->roomier, TRUE);
+	(void)g_array_free(d->fresh, TRUE);
 	g_queue_clear_full(&d->parked, dispatch_parked_free);
 	g_hash_table_destroy(d->paces);
 	g_hash_table_destroy(d->by_request);
@@ -211,7 +215,7 @@
 		dispatch_parked_due(d);
 		d->place = true;
 	}
-	dispatch_place(d);
+	dispatch_place(d, ev->type == MLK_DISPATCH_TICK);
 	stop_due(d);
 	d->out = NULL;
 	return (0);
--- a/src/dispatch/dispatcher_agents.c
+++ b/src/dispatch/dispatcher_agents.c
@@ -99,11 +99,14 @@
 }
 
 static void
-take_load(struct agent *a, uint64_t seen, const struct mlk_worker_load *load)
+take_load(struct mlk_dispatcher *d, struct agent *a, uint64_t seen,
+    const struct mlk_worker_load *load)
 {
 	guint n = 0;
 
 	a->load = *load;
+	g_ptr_array_add(d->roomier, a);
+	d->place = true;
 	while (n < a->unseen->len &&
 	    g_array_index(a->unseen, struct unseen, n).seq <= seen)
 		n++;
@@ -143,8 +146,7 @@
 		ping(d, a);
 	a->known = true;
 	a->info = *info;
-	take_load(a, msg->u.worker.seen, &msg->u.worker.load);
-	d->place = true;
+	take_load(d, a, msg->u.worker.seen, &msg->u.worker.load);
 }
 
 static struct task *
@@ -173,8 +175,7 @@
 
 	a->heard = d->now;
 	a->echo = msg->u.ends.sent_at;
-	take_load(a, msg->u.ends.seen, &msg->u.ends.load);
-	d->place = true;
+	take_load(d, a, msg->u.ends.seen, &msg->u.ends.load);
 	for (i = 0; i < msg->u.ends.n; i++) {
 		result = &msg->u.ends.items[i];
 		task = task_find(d, result);
--- a/src/dispatch/dispatcher_place.c
+++ b/src/dispatch/dispatcher_place.c
@@ -131,6 +131,7 @@
 		a = g_ptr_array_index(d->agents, i);
 		if (!usable(d, a, job->pool) || avoided(job, a))
 			continue;
+		d->counters.looks++;
 		free = dispatch_agent_free(a);
 		f = mlk_room_count(&free, need, n);
 		if (f == 0)
@@ -287,9 +288,10 @@
  * for more workers.
  */
 static void
-send_wants(struct mlk_dispatcher *d, const GPtrArray *order)
+send_wants(struct mlk_dispatcher *d)
 {
-	struct mlk_want want;
+	const char *pool = NULL; /* that want is of */
+	struct mlk_want want = { 0 };
 	struct mlk_msg *msg;
 	struct agent *a;
 	uint32_t told = 0;
@@ -300,7 +302,9 @@
 		    d->agents, (d->want_turn + i) % d->agents->len);
 		if (a->link == 0 || !usable(d, a, a->info.pool))
 			continue;
-		dispatch_queue_want(d, order, a->info.pool, &want);
+		if (pool == NULL || strcmp(pool, a->info.pool) != 0)
+			dispatch_queue_want(d, a->info.pool, &want);
+		pool = a->info.pool;
 		if (want.tasks == 0 || !want_due(d, a, &want))
 			continue;
 		msg = dispatch_send(d, a->link, MLK_MSG_WANT);
@@ -315,31 +319,6 @@
 		d->want_turn += i;
 }
 
-/*
- * Places what waits, the most urgent first, and asks for room for the rest.
- */
-void
-dispatch_place(struct mlk_dispatcher *d)
-{
-	uint32_t misses = 0;
-	GPtrArray *order;
-	guint i;
-
-	/* After a pause, first read which callers have left meanwhile. */
-	if (!d->place || d->nqueued == 0 || d->now < d->paused_until)
-		return;
-	d->place = false;
-	judge_sickness(d);
-	order = dispatch_queue_order(d);
-	for (i = 0; i < order->len && misses < PLACE_MISSES_MAX; i++) {
-		if (!place_job(d, g_ptr_array_index(order, i)))
-			misses++;
-	}
-	if (misses > 0)
-		send_wants(d, order);
-	(void)g_ptr_array_free(order, TRUE);
-}
-
 /*
  * Returns the first step of a job with a queued task that fits; *n is how many
  * do.  Returns nsteps when there is none.
@@ -358,6 +337,96 @@
 	return (step);
 }
 
+/*
+ * Gives the room of one worker to the first jobs that fit.
+ */
+static void
+place_at(struct mlk_dispatcher *d, struct agent *a)
+{
+	struct queue_walk walk;
+	uint32_t misses = 0, step, n = 0;
+	struct mlk_room free;
+	struct job *job;
+
+	dispatch_walk_begin(d, &walk);
+	while (misses < PLACE_MISSES_MAX &&
+	    (job = dispatch_walk_next(&walk)) != NULL) {
+		step = job->nsteps;
+		free = dispatch_agent_free(a);
+		if (usable(d, a, job->pool) && !avoided(job, a))
+			step = step_that_fits(job, &free, &n);
+		if (step < job->nsteps)
+			(void)send_run(d, job, step, n, a, 0);
+		else
+			misses++;
+	}
+}
+
+/*
+ * Looks at all of the queue.  Returns whether some of it found no place.
+ */
+static bool
+place_all(struct mlk_dispatcher *d)
+{
+	struct queue_walk walk;
+	uint32_t misses = 0;
+	struct job *job;
+
+	judge_sickness(d);
+	dispatch_walk_begin(d, &walk);
+	while (misses < PLACE_MISSES_MAX &&
+	    (job = dispatch_walk_next(&walk)) != NULL) {
+		if (!place_job(d, job))
+			misses++;
+	}
+	d->backlog = misses > 0;
+	return (d->backlog);
+}
+
+/*
+ * Looks at what has changed since: what waited before fits nowhere else.
+ * Returns whether a job that is new in the queue found no place.
+ */
+static bool
+place_news(struct mlk_dispatcher *d)
+{
+	bool missed = false;
+	struct job *job;
+	guint i;
+
+	for (i = 0; i < d->roomier->len; i++)
+		place_at(d, g_ptr_array_index(d->roomier, i));
+	for (i = 0; i < d->fresh->len; i++) {
+		job = g_hash_table_lookup(
+		    d->jobs, &g_array_index(d->fresh, uint64_t, i));
+		if (job != NULL && job->nqueued > 0 && !place_job(d, job))
+			missed = true;
+	}
+	return (missed);
+}
+
+/*
+ * Places what waits, the most urgent first, and asks for room for the rest.
+ * While there is a backlog, all of it is looked at in each tick only.
+ */
+void
+dispatch_place(struct mlk_dispatcher *d, bool tick)
+{
+	bool missed;
+
+	/* After a pause, first read which callers have left meanwhile. */
+	if (d->now < d->paused_until)
+		return;
+	if (d->place && d->nqueued > 0) {
+		missed = d->backlog && !tick ? place_news(d) : place_all(d);
+		if (missed)
+			send_wants(d);
+	}
+	d->place = false;
+	(void)g_ptr_array_set_size(d->roomier, 0);
+	(void)g_array_set_size(d->fresh, 0);
+}
+
 /*
  * An agent offers room: the most urgent task that fits takes it.
  */
@@ -366,19 +435,16 @@
     struct mlk_dispatcher *d, struct agent *a, const struct mlk_msg *msg)
 {
 	struct mlk_msg *reply = NULL;
+	struct queue_walk walk;
 	struct mlk_want want;
 	uint32_t step, n = 0;
-	GPtrArray *order;
 	struct job *job;
-	guint i;
 
 	a->heard = d->now;
 	a->echo = msg->u.offer.sent_at;
-	order = dispatch_queue_order(d);
-	for (i = 0;
-	     d->now >= d->paused_until && i < order->len && reply == NULL;
-	     i++) {
-		job = g_ptr_array_index(order, i);
+	dispatch_walk_begin(d, &walk);
+	while (d->now >= d->paused_until && reply == NULL &&
+	    (job = dispatch_walk_next(&walk)) != NULL) {
 		if (!usable(d, a, job->pool) || avoided(job, a))
 			continue;
 		step = step_that_fits(job, &msg->u.offer.room, &n);
@@ -386,7 +452,7 @@
 			reply =
 			    send_run(d, job, step, n, a, msg->u.offer.offer);
 	}
-	dispatch_queue_want(d, order, a->info.pool, &want);
+	dispatch_queue_want(d, a->info.pool, &want);
 	if (d->now < d->paused_until)
 		want.tasks = 0;
 	if (reply != NULL) {
@@ -401,5 +467,4 @@
 		a->sent = d->now;
 	}
 	note_want(d, a, &want);
-	(void)g_ptr_array_free(order, TRUE);
 }
--- a/src/dispatch/dispatcher_priv.h
+++ b/src/dispatch/dispatcher_priv.h
@@ -197,6 +197,9 @@
 	uint32_t nqueued; /* tasks */
 	uint32_t nsent;
 	bool place; /* room or queue has changed */
+	bool backlog; /* the last look at all of the queue left some of it */
+	GPtrArray *roomier; /* agents whose load was told since */
+	GArray *fresh; /* handles of jobs that were queued since */
 	uint32_t want_turn; /* first agent to be told what is wanted */
 	bool use_sick; /* too many workers are sick to leave them out */
 	bool stopping;
@@ -205,6 +208,20 @@
 	struct mlk_dispatch_effects *out;
 };
 
+enum walk_part {
+	WALK_IN_TIME,
+	WALK_LATE_BEGUN,
+	WALK_LATE_REST,
+};
+
+/* A look at the jobs that wait, in the order in which they get room. */
+struct queue_walk {
+	struct mlk_dispatcher *d;
+	enum walk_part part;
+	GSequenceIter *next; /* valid while there are more in this part */
+	bool more;
+};
+
 /* dispatcher.c */
 void dispatch_log(struct mlk_dispatcher *d, enum mlk_log_level level,
     const struct job *job, const char *worker, const char *fmt, ...)
@@ -236,12 +253,13 @@
 /* dispatcher_queue.c */
 void dispatch_enqueue(struct mlk_dispatcher *d, struct task *task);
 void dispatch_dequeue(struct mlk_dispatcher *d, struct task *task);
-GPtrArray *dispatch_queue_order(const struct mlk_dispatcher *d);
-void dispatch_queue_want(const struct mlk_dispatcher *d, const GPtrArray *order,
-    const char *pool, struct mlk_want *want);
+void dispatch_walk_begin(struct mlk_dispatcher *d, struct queue_walk *walk);
+struct job *dispatch_walk_next(struct queue_walk *walk);
+void dispatch_queue_want(
+    struct mlk_dispatcher *d, const char *pool, struct mlk_want *want);
 
 /* dispatcher_place.c */
-void dispatch_place(struct mlk_dispatcher *d);
+void dispatch_place(struct mlk_dispatcher *d, bool tick);
 void dispatch_offer(
     struct mlk_dispatcher *d, struct agent *a, const struct mlk_msg *msg);
 bool dispatch_pool_ready(const struct mlk_dispatcher *d, const char *pool);
--- a/src/dispatch/dispatcher_queue.c
+++ b/src/dispatch/dispatcher_queue.c
@@ -10,6 +10,8 @@
 #define MISSED_NS (30000 * MS)
 /* Keeps the urgency of what is due now above 0. */
 #define URGENCY_BASE_NS (1000 * MS)
+/* More tasks than a worker holds of the smallest that the deployments send. */
+#define WANT_TASKS_MAX 128U
 
 static gint
 by_start(gconstpointer a, gconstpointer b, gpointer data)
@@ -35,9 +37,11 @@
 	task->agent = NULL;
 	job->nqueued++;
 	d->nqueued++;
-	if (job->place == NULL)
+	if (job->place == NULL) {
 		job->place =
 		    g_sequence_insert_sorted(d->queue, job, by_start, NULL);
+		(void)g_array_append_val(d->fresh, job->handle);
+	}
 	d->place = true;
 }
 
@@ -83,60 +87,112 @@
 	    (d->now - job->start_by));
 }
 
+/*
+ * Returns the first job whose start is not late; all before it are.
+ */
+static GSequenceIter *
+first_in_time(const struct mlk_dispatcher *d)
+{
+	struct job key = { .start_by = d->now };
+
+	return (g_sequence_search(d->queue, &key, by_start, NULL));
+}
+
+/*
+ * Starts a walk over the jobs with queued tasks, the most urgent first.  The
+ * queue is sorted by start_by, so that the jobs that have missed their goal
+ * stand at its front: they come last, those that have begun before the others,
+ * the newest first.
+ *
+ * The load that it answers: a backlog after a loss of power, in which every
+ * message leads to a look at the queue.  Most looks end at the first jobs, and
+ * an entry of 0.12 cores has no time to put hundreds of jobs in order for each.
+ */
+void
+dispatch_walk_begin(struct mlk_dispatcher *d, struct queue_walk *walk)
+{
+	walk->d = d;
+	walk->part = WALK_IN_TIME;
+	walk->next = first_in_time(d);
+	walk->more = !g_sequence_iter_is_end(walk->next);
+}
+
+/*
+ * Turns to a part of the late jobs, of which the last is the newest.
+ */
 static void
-append_late(GPtrArray *order, const GPtrArray *late, bool begun)
+walk_late(struct queue_walk *walk, enum walk_part part)
 {
-	struct job *job;
-	guint i;
+	walk->part = part;
+	walk->next = first_in_time(walk->d);
+	walk->more = !g_sequence_iter_is_begin(walk->next);
+	if (walk->more)
+		walk->next = g_sequence_iter_prev(walk->next);
+}
 
-	for (i = late->len; i > 0; i--) {
-		job = g_ptr_array_index(late, i - 1);
-		if (has_begun(job) == begun)
-			g_ptr_array_add(order, job);
+/*
+ * Returns the job at the walk's place and moves on, so that the job may leave
+ * the queue.
+ */
+static struct job *
+walk_step(struct queue_walk *walk)
+{
+	struct job *job = g_sequence_get(walk->next);
+
+	walk->d->counters.looks++;
+	if (walk->part == WALK_IN_TIME) {
+		walk->next = g_sequence_iter_next(walk->next);
+		walk->more = !g_sequence_iter_is_end(walk->next);
+	} else {
+		walk->more = !g_sequence_iter_is_begin(walk->next);
+		if (walk->more)
+			walk->next = g_sequence_iter_prev(walk->next);
 	}
+	return (job);
 }
 
 /*
- * Returns the jobs with queued tasks, the most urgent first; the caller frees
- * the array.  The queue is sorted by start_by, so that the jobs that have
- * missed their goal stand at its front.
+ * Returns the next job of a walk, or NULL.  The job that it returned last may
+ * have left the queue meanwhile; others may not.
  */
-GPtrArray *
-dispatch_queue_order(const struct mlk_dispatcher *d)
+struct job *
+dispatch_walk_next(struct queue_walk *walk)
 {
-	GPtrArray *order, *late;
-	GSequenceIter *iter;
 	struct job *job;
 
-	order = g_ptr_array_new();
-	late = g_ptr_array_new();
-	for (iter = g_sequence_get_begin_iter(d->queue);
-	     !g_sequence_iter_is_end(iter); iter = g_sequence_iter_next(iter)) {
-		job = g_sequence_get(iter);
-		g_ptr_array_add(job->start_by >= d->now ? order : late, job);
+	for (;;) {
+		if (!walk->more) {
+			if (walk->part == WALK_LATE_REST)
+				return (NULL);
+			walk_late(walk,
+			    walk->part == WALK_IN_TIME ? WALK_LATE_BEGUN :
+							 WALK_LATE_REST);
+			continue;
+		}
+		job = walk_step(walk);
+		if (walk->part == WALK_IN_TIME ||
+		    has_begun(job) == (walk->part == WALK_LATE_BEGUN))
+			return (job);
 	}
-	append_late(order, late, true);
-	append_late(order, late, false);
-	(void)g_ptr_array_free(late, TRUE);
-	return (order);
 }
 
 /*
  * Fills what is wanted of the workers of a pool, for the most urgent of the
- * jobs in order.
+ * jobs that wait.  Stops counting where no worker holds more.
  */
 void
-dispatch_queue_want(const struct mlk_dispatcher *d, const GPtrArray *order,
-    const char *pool, struct mlk_want *want)
+dispatch_queue_want(
+    struct mlk_dispatcher *d, const char *pool, struct mlk_want *want)
 {
 	const struct job *job;
+	struct queue_walk walk;
 	int64_t left_ms;
 	uint32_t k;
-	guint i;
 
 	memset(want, 0, sizeof(*want));
-	for (i = 0; i < order->len; i++) {
-		job = g_ptr_array_index(order, i);
+	dispatch_walk_begin(d, &walk);
+	while (want->tasks < WANT_TASKS_MAX &&
+	    (job = dispatch_walk_next(&walk)) != NULL) {
 		if (job->nqueued == 0 || strcmp(job->pool, pool) != 0)
 			continue;
 		want->tasks += job->nqueued;
--- a/test/test_dispatcher.c
+++ b/test/test_dispatcher.c
@@ -364,6 +364,47 @@
 	assert_int_equal(gauges.agents, 0);
 }
 
+/*
+ * Replays what follows a loss of power: hundreds of jobs wait, every worker is
+ * full, and each of many messages tells of a worker's load.  Guards against an
+ * entry that puts the whole queue in order for each of them, falls behind its
+ * messages, and takes its agents for silent.
+ */
+static void
+test_backlog_costs_little(void **state)
+{
+	struct dispatch_bench *b = *state;
+	const struct mlk_dispatch_counters *counters;
+	struct bench_agent agents[50];
+	uint64_t before;
+	char name[16];
+	uint32_t i;
+
+	for (i = 0; i < 50; i++) {
+		(void)snprintf(name, sizeof(name), "agent-%u", i);
+		bench_attach(b, &agents[i], name, "dc-a", CPU);
+		agents[i].free.cpu = 4000;
+		bench_worker(b, &agents[i], MLK_WORKER_READY);
+	}
+	bench_estimate(b, 170);
+	for (i = 0; i < 400; i++) {
+		(void)snprintf(name, sizeof(name), "job-%u", i);
+		(void)bench_submit(b, name, 2, 6000, 60000);
+	}
+	bench_pass(b, 20);
+	counters = mlk_dispatch_counters(b->d);
+	before = counters->looks;
+	for (i = 0; i < 1000; i++)
+		bench_worker(b, &agents[i % 50], MLK_WORKER_READY);
+	assert_true(counters->looks - before <= 1000 * 50);
+	/* The room of one worker still goes to the most urgent job at once. */
+	agents[7].free.cpu = 12000;
+	bench_worker(b, &agents[7], MLK_WORKER_READY);
+	assert_int_equal(bench_sent_tasks(b, &agents[7]), 2);
+	assert_string_equal(
+	    bench_sent(b, &agents[7], MLK_MSG_RUN, 0)->u.run.id, "job-0");
+}
+
 /*
  * Guards against a backlog that makes every job late: at a crest, a job that
  * has missed its goal gives way to one that can still meet its own.
@@ -478,6 +519,7 @@
 		TEST(test_offer_goes_to_most_urgent),
 		TEST(test_offer_without_need_is_passed),
 		TEST(test_offers_are_heard),
+		TEST(test_backlog_costs_little),
 		TEST(test_missed_jobs_give_way),
 		TEST(test_useless_jobs_are_refused),
 		TEST(test_routing_never_falls),
