model: check at most one run of an ephemeral job's task at a time

model/ephemeral.pml: two entries, two agents with workers, a caller who sends again, time in steps of 200 ms, bounds rounded to the unsafe side. Faults at any moment: deaths, pauses, cuts, resets, starts that come late, a worker that answers no stop. It showed that ending a silent entry's runs after 800 ms only frees the room: the limit of the renewals keeps the promise alone.

--- a/scripts/models.sh
+++ b/scripts/models.sh
@@ -92,6 +92,7 @@
 confirm_issued pass confirm.pml -DISSUED=2
 start_issued_later pass start_issued.pml -DISSUED=2 -DCRASHES=0 -DNOT_RUNS=0
 start_crash pass start.pml -DEPOCHS=2 -DREGS=2
+ephemeral pass ephemeral.pml -DFAULTS=3
 start-no-incarnation fail start.pml -DBUG_NO_INCARNATION
 start-no-fence fail start.pml -DBUG_NO_FENCE
 start-restart-whole fail start.pml -DBUG_RESTART_WHOLE
@@ -139,6 +140,14 @@
 confirm-closed fail confirm.pml -DBUG_CONFIRM_CLOSED
 confirm-leaving fail confirm.pml -DBUG_CONFIRM_LEAVING
 confirm-issued-earlier-owner fail confirm.pml -DISSUED=2 -DBUG_ISSUED_EARLIER_OWNER
+ephemeral-detached-short fail ephemeral.pml -DBUG_DETACHED_SHORT
+ephemeral-renew-unlimited fail ephemeral.pml -DBUG_RENEW_UNLIMITED
+ephemeral-age-on-receipt fail ephemeral.pml -DBUG_AGE_ON_RECEIPT
+ephemeral-renew-after-pause fail ephemeral.pml -DBUG_RENEW_AFTER_PAUSE
+ephemeral-attach-early fail ephemeral.pml -DBUG_ATTACH_EARLY
+ephemeral-no-fence fail ephemeral.pml -DBUG_NO_FENCE
+ephemeral-place-after-pause fail ephemeral.pml -DBUG_PLACE_AFTER_PAUSE
+ephemeral-full-first-lease fail ephemeral.pml -DBUG_FULL_FIRST_LEASE
 config-lost pass config.pml -DRESTARTS=0 -DOUTAGES=0
 config-restart pass config.pml -DLOST=0 -DOUTAGES=0
 config-restart-outage pass config.pml -DOPERATORS=1
