test: a soak of the site programs as processes

One process plays the store, the workers and the callers on loopback addresses around real entries and agents, draws signals (kill, pause, planned stop, reload), workers that crash, stand still, fail, lose answers or carry orders out late, a store that is down, silent or loses answers, and new routing tables; it checks the promises of test/soak.h from what it sees. Until now no test ran the programs of platform/ or its parsers.

--- /dev/null
+++ b/test/soak_procs.c
@@ -0,0 +1,341 @@
+/*
+ * The programs under the soak, and the faults.
+ */
+#include <sys/types.h>
+#include <sys/wait.h>
+
+#include <errno.h>
+#include <fcntl.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "soak.h"
+
+#define GRACE_MS 3000
+#define FAULT_GAP_MIN_MS 150U
+#define FAULT_GAP_MS 1200U
+#define RESTART_MS 200U
+#define RESTART_SPREAD_MS 1200U
+
+static void
+write_entries(struct soak *s, FILE *f)
+{
+	char addr[MLK_ADDR_MAX];
+	uint32_t i;
+
+	(void)fprintf(f, "entries: [");
+	for (i = 0; i < s->options.entries; i++) {
+		soak_entry_addr(s, i, SOAK_PORT_CONTROL, addr);
+		(void)fprintf(f, "%s\"%s\"", i == 0 ? "" : ", ", addr);
+	}
+	(void)fprintf(f, "]\n");
+}
+
+static void
+write_entry(struct soak *s, FILE *f, uint32_t i)
+{
+	char addr[MLK_ADDR_MAX];
+
+	soak_entry_addr(s, i, SOAK_PORT_LINKS, addr);
+	(void)fprintf(f, "links: {listen: \"%s\", port: %u}\n", addr,
+	    s->port + SOAK_PORT_LINKS);
+	soak_entry_addr(s, i, SOAK_PORT_CALLERS, addr);
+	(void)fprintf(f, "callers: {listen: \"%s\"}\n", addr);
+	soak_entry_addr(s, i, SOAK_PORT_READY, addr);
+	(void)fprintf(f, "readiness: {listen: \"%s\"}\n", addr);
+	soak_entry_addr(s, i, SOAK_PORT_METRICS, addr);
+	(void)fprintf(f, "metrics: {listen: \"%s\"}\n", addr);
+}
+
+static void
+write_agent(struct soak *s, FILE *f, uint32_t i)
+{
+	char addr[MLK_ADDR_MAX];
+
+	(void)fprintf(f, "links: {port: %u}\n", s->port + SOAK_PORT_LINKS);
+	soak_agent_addr(s, i, SOAK_PORT_WORKERS + i, addr);
+	(void)fprintf(f, "worker: {address: \"%s\"}\n", addr);
+	soak_agent_addr(s, i, SOAK_PORT_CONTROL, addr);
+	(void)fprintf(f, "announcements: {listen: \"%s\"}\n", addr);
+	soak_agent_addr(s, i, SOAK_PORT_METRICS, addr);
+	(void)fprintf(f, "metrics: {listen: \"%s\"}\n", addr);
+}
+
+static int
+write_settings(struct soak *s, const struct soak_proc *p)
+{
+	char path[128];
+	FILE *f;
+
+	(void)snprintf(path, sizeof(path), "%s/%s.yaml", s->dir, p->id);
+	f = fopen(path, "w");
+	if (f == NULL)
+		return (-1);
+	(void)fprintf(
+	    f, "id: %s\ndc: dc-%c\n", p->id, (char)('a' + p->index % 3));
+	write_entries(s, f);
+	if (p->entry)
+		write_entry(s, f, p->index);
+	else
+		write_agent(s, f, p->index);
+	(void)fprintf(f,
+	    "store: {address: \"127.0.3.1:%u\"}\n"
+	    "timing: {grace_s: %d, resend_ms: 1300}\n",
+	    s->port + SOAK_PORT_STORE, GRACE_MS / 1000);
+	return (fclose(f));
+}
+
+static void
+exec_program(const struct soak *s, const struct soak_proc *p)
+{
+	char program[256], settings[128], out[128];
+	sigset_t none;
+	int fd;
+
+	(void)snprintf(program, sizeof(program), "%s/monsoonlock-site-%s",
+	    s->options.programs, p->entry ? "entry" : "agent");
+	(void)snprintf(settings, sizeof(settings), "%s/%s.yaml", s->dir, p->id);
+	(void)snprintf(out, sizeof(out), "%s/%s.log", s->dir, p->id);
+	(void)sigemptyset(&none);
+	(void)sigprocmask(SIG_SETMASK, &none, NULL);
+	fd = open(out, O_WRONLY | O_CREAT | O_APPEND, 0644);
+	if (fd >= 0) {
+		(void)dup2(fd, STDOUT_FILENO);
+		(void)dup2(fd, STDERR_FILENO);
+	}
+	(void)close_range(3, ~0U, 0);
+	(void)execl(program, program, "--config", settings, (char *)NULL);
+	_exit(127);
+}
+
+static void
+proc_start(struct soak *s, struct soak_proc *p)
+{
+	pid_t pid;
+
+	p->start_at = 0;
+	pid = fork();
+	if (pid < 0) {
+		soak_violation(s, "fork: %s", strerror(errno));
+		return;
+	}
+	if (pid == 0)
+		exec_program(s, p);
+	p->pid = pid;
+	p->boot++;
+	p->shown = 0;
+	p->stopped = false;
+	p->expected = false;
+	p->cont_at = 0;
+	p->kill_at = 0;
+}
+
+/*
+ * Writes the settings of all programs and starts them.  Returns 0 or -1.
+ */
+int
+soak_procs_create(struct soak *s)
+{
+	struct soak_proc *p;
+	uint32_t i;
+
+	(void)snprintf(s->dir, sizeof(s->dir), "soak-%llu-XXXXXX",
+	    (unsigned long long)s->options.seed);
+	if (mkdtemp(s->dir) == NULL)
+		return (-1);
+	for (i = 0; i < s->options.entries + s->options.workers; i++) {
+		p = &s->procs[s->nprocs++];
+		p->entry = i < s->options.entries;
+		p->index = p->entry ? i : i - s->options.entries;
+		(void)snprintf(p->id, sizeof(p->id), "%s-%u",
+		    p->entry ? "entry" : "agent", p->index);
+		if (write_settings(s, p) != 0)
+			return (-1);
+		proc_start(s, p);
+	}
+	return (0);
+}
+
+static void
+reap(struct soak *s, struct soak_proc *p)
+{
+	int status;
+
+	if (p->pid == 0 || waitpid(p->pid, &status, WNOHANG) != p->pid)
+		return;
+	if (!p->expected)
+		soak_violation(s, "ended: %s by itself, status %x", p->id,
+		    (unsigned int)status);
+	p->pid = 0;
+	p->start_at = s->now + RESTART_MS + soak_below(s, RESTART_SPREAD_MS);
+}
+
+void
+soak_procs_tick(struct soak *s)
+{
+	struct soak_proc *p;
+	uint32_t i;
+
+	for (i = 0; i < s->nprocs; i++) {
+		p = &s->procs[i];
+		reap(s, p);
+		if (p->start_at != 0 && s->now >= p->start_at && !s->over)
+			proc_start(s, p);
+		if (p->cont_at != 0 && s->now >= p->cont_at) {
+			p->cont_at = 0;
+			p->stopped = false;
+			if (p->pid != 0)
+				(void)kill(p->pid, SIGCONT);
+		}
+		if (p->kill_at != 0 && s->now >= p->kill_at) {
+			p->kill_at = 0;
+			if (p->pid != 0)
+				(void)kill(p->pid, SIGKILL);
+		}
+	}
+}
+
+static void
+proc_kill(struct soak_proc *p)
+{
+	if (p->pid == 0)
+		return;
+	p->expected = true;
+	(void)kill(p->pid, SIGKILL);
+}
+
+static void
+proc_pause(struct soak *s, struct soak_proc *p)
+{
+	if (p->pid == 0 || p->stopped)
+		return;
+	p->stopped = true;
+	p->cont_at = s->now + 50 + soak_below(s, 3000);
+	(void)kill(p->pid, SIGSTOP);
+}
+
+static void
+proc_stop(struct soak *s, struct soak_proc *p)
+{
+	if (p->pid == 0 || p->kill_at != 0)
+		return;
+	p->expected = true;
+	p->kill_at = s->now + GRACE_MS;
+	(void)kill(p->pid, SIGTERM);
+}
+
+/*
+ * A fault of a worker; ends are drawn by later faults, or by the last one.
+ */
+static void
+worker_fault(struct soak *s, struct soak_worker *w, uint32_t i)
+{
+	switch (soak_below(s, 7)) {
+	case 0:
+	case 1:
+		soak_worker_start(s, i, soak_below(s, 2) == 0);
+		break;
+	case 2:
+		w->mute = !w->mute;
+		break;
+	case 3:
+		w->lost_percent = soak_below(s, 30);
+		break;
+	case 4:
+		w->late_percent = soak_below(s, 30);
+		break;
+	case 5:
+		w->fake.speed = soak_below(s, 3) * 0.5;
+		break;
+	case 6:
+		w->fake.fails = !w->fake.fails;
+		break;
+	}
+}
+
+static void
+fault(struct soak *s)
+{
+	struct soak_proc *p = &s->procs[soak_below(s, s->nprocs)];
+	uint32_t i = soak_below(s, s->options.workers);
+
+	s->faults++;
+	switch (soak_below(s, 10)) {
+	case 0:
+	case 1:
+		proc_kill(p);
+		break;
+	case 2:
+	case 3:
+		proc_pause(s, p);
+		break;
+	case 4:
+		proc_stop(s, p);
+		break;
+	case 5:
+		if (p->pid != 0)
+			(void)kill(p->pid, SIGHUP);
+		break;
+	case 6:
+		s->store_mode = (enum soak_store_mode)(1 + soak_below(s, 3));
+		s->store_until = s->now + 200 + soak_below(s, 4000);
+		break;
+	case 7:
+		soak_store_routes(s, s->routing + 1 + soak_below(s, 3));
+		break;
+	default:
+		worker_fault(s, &s->workers[i], i);
+		break;
+	}
+}
+
+/*
+ * All workers are well again.
+ */
+static void
+heal(struct soak *s)
+{
+	struct soak_worker *w;
+	uint32_t i;
+
+	for (i = 0; i < s->options.workers; i++) {
+		w = &s->workers[i];
+		w->mute = false;
+		w->lost_percent = 0;
+		w->late_percent = 0;
+		w->fake.speed = 1.0;
+		w->fake.fails = false;
+	}
+}
+
+void
+soak_faults_tick(struct soak *s)
+{
+	if (s->options.calm || soak_faults_over(s)) {
+		heal(s);
+		return;
+	}
+	if (s->now < s->next_fault)
+		return;
+	fault(s);
+	s->next_fault = s->now + FAULT_GAP_MIN_MS + soak_below(s, FAULT_GAP_MS);
+}
+
+/*
+ * Ends the programs that are still there.
+ */
+void
+soak_procs_end(struct soak *s)
+{
+	uint32_t i;
+
+	for (i = 0; i < s->nprocs; i++) {
+		if (s->procs[i].pid == 0)
+			continue;
+		(void)kill(s->procs[i].pid, SIGKILL);
+		(void)waitpid(s->procs[i].pid, NULL, 0);
+	}
+}
--- /dev/null
+++ b/test/soak_store.c
@@ -0,0 +1,244 @@
+/*
+ * The platform's store for the soak: rows, transactions and feeds, as its page
+ * describes them.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "soak.h"
+
+#define OP_TABLE "op"
+#define OP_KEY "config"
+
+static struct soak_row *
+row_get(struct soak *s, const char *table, const char *key)
+{
+	struct soak_row fresh = { 0 }, *row;
+	guint i;
+
+	for (i = 0; i < s->rows->len; i++) {
+		row = &g_array_index(s->rows, struct soak_row, i);
+		if (strcmp(row->table, table) == 0 &&
+		    strcmp(row->key, key) == 0)
+			return (row);
+	}
+	(void)g_strlcpy(fresh.table, table, sizeof(fresh.table));
+	(void)g_strlcpy(fresh.key, key, sizeof(fresh.key));
+	(void)g_array_append_val(s->rows, fresh);
+	return (&g_array_index(s->rows, struct soak_row, s->rows->len - 1));
+}
+
+static void
+row_put(struct soak *s, const char *table, const char *key, const char *value)
+{
+	struct soak_row *row = row_get(s, table, key);
+
+	g_free(row->value);
+	row->value = g_strdup(value);
+	row->version = s->version;
+}
+
+/*
+ * The operator puts a routing table in force: a route for jobs at each entry's
+ * address, and one that tells the version.
+ */
+void
+soak_store_routes(struct soak *s, uint64_t version)
+{
+	json_t *root, *routes = json_array();
+	char host[SOAK_HOST_MAX], prefix[32], *text, *value;
+	uint32_t i;
+
+	(void)snprintf(
+	    prefix, sizeof(prefix), "/v%llu/", (unsigned long long)version);
+	for (i = 0; i < s->options.entries; i++) {
+		(void)snprintf(host, sizeof(host), "127.0.1.%u", i + 1);
+		(void)json_array_append_new(routes,
+		    json_pack("{s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:i,s:f}", "name",
+			"q", "host", host, "path_prefix", SOAK_ROUTE, "service",
+			"pool-a", "timeout_ms", 3000, "target_latency_ms", 60,
+			"priority", 0, "attempts", 3, "stretch", 1.6));
+		(void)json_array_append_new(routes,
+		    json_pack("{s:s,s:s,s:s,s:s,s:i}", "name", "v", "host",
+			host, "path_prefix", prefix, "service", "pool-a",
+			"timeout_ms", 1000));
+	}
+	root = json_pack("{s:I,s:o,s:[{s:s}],s:{}}", "version",
+	    (json_int_t)version, "routes", routes, "services", "name", "pool-a",
+	    "limits");
+	text = json_dumps(root, JSON_COMPACT);
+	value = g_base64_encode((const guchar *)text, strlen(text));
+	s->version++;
+	s->routing = version;
+	row_put(s, OP_TABLE, OP_KEY, value);
+	g_free(value);
+	free(text);
+	json_decref(root);
+}
+
+static void
+query_text(const char *query, const char *name, char *out, size_t size)
+{
+	char pattern[32];
+	const char *at;
+	size_t n;
+
+	out[0] = '\0';
+	(void)snprintf(pattern, sizeof(pattern), "%s=", name);
+	at = strstr(query, pattern);
+	if (at == NULL)
+		return;
+	at += strlen(pattern);
+	n = strcspn(at, "&;, "); /* libwebsockets joins them anew */
+	if (n < size) {
+		memcpy(out, at, n);
+		out[n] = '\0';
+	}
+}
+
+static uint64_t
+query_number(const char *query, const char *name)
+{
+	char text[32];
+
+	query_text(query, name, text, sizeof(text));
+	return (strtoull(text, NULL, 10));
+}
+
+/*
+ * Returns the rows of a table that are newer than after; removed ones too when
+ * it is a feed.
+ */
+static json_t *
+rows_json(struct soak *s, const char *table, uint64_t after, bool feed)
+{
+	json_t *list = json_array(), *item;
+	const struct soak_row *row;
+	guint i;
+
+	for (i = 0; i < s->rows->len; i++) {
+		row = &g_array_index(s->rows, struct soak_row, i);
+		if (strcmp(row->table, table) != 0 || row->version <= after ||
+		    row->version == 0 || (row->value == NULL && !feed))
+			continue;
+		item = json_pack("{s:s,s:s,s:s,s:I}", "table", table, "part",
+		    "", "key", row->key, "ver", (json_int_t)row->version);
+		if (row->value != NULL)
+			(void)json_object_set_new(
+			    item, "value", json_string(row->value));
+		else
+			(void)json_object_set_new(item, "removed", json_true());
+		(void)json_array_append_new(list, item);
+	}
+	return (list);
+}
+
+static void
+reply_rows(struct soak *s, uint64_t request, json_t *list)
+{
+	soak_reply(s, request, 200,
+	    json_pack("{s:o,s:b,s:I,s:I}", "rows", list, "truncated", 0, "ver",
+		(json_int_t)s->version, "now_ms", (json_int_t)s->now));
+}
+
+static bool
+expectations_hold(struct soak *s, const json_t *list)
+{
+	const struct soak_row *row;
+	const json_t *item;
+	size_t i;
+
+	json_array_foreach(list, i, item)
+	{
+		row = row_get(s,
+		    json_string_value(json_object_get(item, "table")),
+		    json_string_value(json_object_get(item, "key")));
+		if ((json_int_t)(row->value == NULL ? 0 : row->version) !=
+		    json_integer_value(json_object_get(item, "ver")))
+			return (false);
+	}
+	return (true);
+}
+
+static void
+transaction(struct soak *s, const struct mlk_http_request *req)
+{
+	const json_t *item;
+	json_t *root;
+	size_t i;
+
+	root = json_loadb((const char *)req->body, req->body_len, 0, NULL);
+	if (!expectations_hold(s, json_object_get(root, "expect"))) {
+		soak_reply(s, req->request, 412, json_pack("{s:[]}", "rows"));
+		json_decref(root);
+		return;
+	}
+	s->version++;
+	json_array_foreach(json_object_get(root, "writes"), i, item)
+	    row_put(s, json_string_value(json_object_get(item, "table")),
+		json_string_value(json_object_get(item, "key")),
+		json_string_value(json_object_get(item, "value")));
+	json_array_foreach(json_object_get(root, "remove"), i, item)
+	    row_put(s, json_string_value(json_object_get(item, "table")),
+		json_string_value(json_object_get(item, "key")), NULL);
+	json_decref(root);
+	if (s->store_mode != SOAK_STORE_LOSSY)
+		soak_reply(s, req->request, 200,
+		    json_pack("{s:I}", "ver", (json_int_t)s->version));
+}
+
+void
+soak_store_request(struct soak *s, const struct mlk_http_request *req)
+{
+	struct soak_poll poll = { .request = req->request };
+
+	if (s->store_mode == SOAK_STORE_SILENT)
+		return;
+	if (s->store_mode == SOAK_STORE_DOWN) {
+		soak_reply(s, req->request, 503, json_object());
+		return;
+	}
+	if (strcmp(req->path, "/-/rows-tx") == 0) {
+		transaction(s, req);
+		return;
+	}
+	if (s->store_mode == SOAK_STORE_LOSSY)
+		return;
+	query_text(req->query, "table", poll.table, sizeof(poll.table));
+	if (strcmp(req->path, "/-/rows-get") == 0) {
+		reply_rows(s, req->request, rows_json(s, poll.table, 0, false));
+		return;
+	}
+	poll.after = query_number(req->query, "after");
+	poll.until = s->now + (int64_t)query_number(req->query, "wait_ms");
+	(void)g_array_append_val(s->polls, poll);
+}
+
+/*
+ * Answers feeds that have something new or have waited long enough.
+ */
+void
+soak_store_tick(struct soak *s)
+{
+	struct soak_poll poll;
+	json_t *list;
+	guint i;
+
+	if (s->store_mode != SOAK_STORE_UP) {
+		if (s->now >= s->store_until)
+			s->store_mode = SOAK_STORE_UP;
+		(void)g_array_set_size(s->polls, 0);
+		return;
+	}
+	for (i = s->polls->len; i > 0; i--) {
+		poll = g_array_index(s->polls, struct soak_poll, i - 1);
+		list = rows_json(s, poll.table, poll.after, true);
+		if (json_array_size(list) == 0 && s->now < poll.until) {
+			json_decref(list);
+			continue;
+		}
+		reply_rows(s, poll.request, list);
+		(void)g_array_remove_index_fast(s->polls, i - 1);
+	}
+}
