test: what the adapter reads and writes, well formed and not

Jobs, announcements, orders and their answers, listings, rows and the operator's configuration: platform/ had no test of its own.

--- /dev/null
+++ b/test/test_site.c
@@ -0,0 +1,432 @@
+/*
+ * Tests of the adapter: what the users' platform sends, well formed and not, as
+ * the types of the dispatch library, and back.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "../platform/site.h"
+
+#define ID "5c0e7a21d94b36f8"
+#define JOB(more) \
+	"{\"spec\":\"text\",\"best_effort\":true,\"steps\":[{" more "}]}"
+
+static bool
+parse_job(struct site_job *job, const char *path, const char *body)
+{
+	return (site_job_parse(job, path, (const uint8_t *)body, strlen(body)));
+}
+
+/* Guards against a demand or an estimate that is read wrong. */
+static void
+test_job(void **state)
+{
+	struct site_job job;
+
+	(void)state;
+	assert_true(parse_job(&job, "/q/" ID,
+	    "{\"spec\":\"text\",\"best_effort\":true,\"steps\":["
+	    "{\"count\":4,\"cpu\":500,\"mem_mb\":256,\"estimate_ms\":900},"
+	    "{\"count\":2,\"cpu\":2000,\"gpu\":1,\"after\":[0]}]}"));
+	assert_string_equal(job.work.id, ID);
+	assert_int_equal(job.work.spec_len, 4);
+	assert_memory_equal(job.work.spec, "text", 4);
+	assert_null(job.work.unsupported);
+	assert_int_equal(job.work.nsteps, 2);
+	assert_int_equal(job.work.steps[0].count, 4);
+	assert_int_equal(job.work.steps[0].room.cpu, 500);
+	assert_int_equal(job.work.steps[0].room.mem_mb, 256);
+	assert_int_equal(job.work.steps[0].estimate_ms, 900);
+	assert_int_equal(job.work.steps[1].room.gpu, 1);
+	assert_int_equal(job.work.steps[1].after, 1);
+	site_job_clear(&job);
+}
+
+/* Guards against a malformed body that is run in part, or ends the process. */
+static void
+test_job_malformed(void **state)
+{
+	static const char *const bodies[] = { "", "[]", "{", "{\"steps\":[]}",
+		"{\"spec\":1,\"steps\":[{\"count\":1}]}", JOB(""),
+		JOB("\"count\":0"), JOB("\"count\":-1"),
+		JOB("\"count\":1,\"cpu\":-5"), JOB("\"count\":1,\"cpu\":\"x\""),
+		JOB("\"count\":100000"), JOB("\"count\":1,\"after\":[0]"),
+		JOB("\"count\":1,\"after\":0"), JOB("\"count\":1.5") };
+	static const char *const paths[] = { "/q/", "/q/short", "/q/" ID "0",
+		"/q/zc0e7a21d94b36f8", ID };
+	struct site_job job;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(bodies); i++) {
+		assert_false(parse_job(&job, "/q/" ID, bodies[i]));
+		site_job_clear(&job);
+	}
+	for (i = 0; i < G_N_ELEMENTS(paths); i++) {
+		assert_false(parse_job(&job, paths[i], JOB("\"count\":1")));
+		site_job_clear(&job);
+	}
+}
+
+/*
+ * Guards against a job that is taken although it asks for what is not built,
+ * and against one that is refused for a field that is left empty.
+ */
+static void
+test_job_unsupported(void **state)
+{
+	static const char *const asking[] = {
+		"{\"spec\":\"\",\"steps\":[{\"count\":1}]}",
+		JOB("\"count\":1,\"gang\":true"),
+		JOB("\"count\":1,\"anti_affinity\":1"),
+		JOB("\"count\":1,\"constraints\":\"a\""),
+		JOB("\"count\":1,\"speculative\":true"),
+		JOB("\"count\":1,\"target_ms\":50"),
+		"{\"spec\":\"\",\"best_effort\":true,\"long_running\":true,"
+		"\"steps\":[{\"count\":1}]}",
+		"{\"spec\":\"\",\"best_effort\":true,\"repeat_count\":2,"
+		"\"steps\":[{\"count\":1}]}"
+	};
+	struct site_job job;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(asking); i++) {
+		assert_true(parse_job(&job, "/q/" ID, asking[i]));
+		assert_non_null(job.work.unsupported);
+		site_job_clear(&job);
+	}
+	assert_true(parse_job(&job, "/q/" ID,
+	    JOB("\"count\":1,\"gang\":false,\"affinity\":\"\","
+		"\"anti_affinity\":0")));
+	assert_null(job.work.unsupported);
+	site_job_clear(&job);
+}
+
+/* Guards against an answer that promises more or less than is known. */
+static void
+test_outcomes(void **state)
+{
+	(void)state;
+	assert_int_equal(site_outcome_status(MLK_WORK_COMPLETED), 200);
+	assert_string_equal(
+	    site_outcome_body(MLK_WORK_COMPLETED), "{\"state\":\"completed\"}");
+	assert_int_equal(site_outcome_status(MLK_WORK_FAILED), 200);
+	assert_string_equal(
+	    site_outcome_body(MLK_WORK_FAILED), "{\"state\":\"failed\"}");
+	assert_int_equal(site_outcome_status(MLK_WORK_REFUSED), 503);
+	assert_int_equal(site_outcome_status(MLK_WORK_NO_ROUTE), 404);
+	assert_int_equal(site_outcome_status(MLK_WORK_INVALID), 400);
+	assert_int_equal(site_outcome_status(MLK_WORK_BROKEN), 502);
+	assert_int_equal(site_outcome_status(MLK_WORK_LATE), 504);
+}
+
+#define ANNOUNCEMENT                                                        \
+	"{\"service\":\"pool\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\"," \
+	"\"state\":\"%s\",\"capacity\":{\"cpu\":64000,\"mem_mb\":1024},"    \
+	"\"labels\":[\"a\",\"r1\"],\"clock_ms\":482113,\"seq\":%s,"         \
+	"\"born\":%s,\"remaining_ms\":700}"
+
+static bool
+parse_announcement(struct mlk_announcement *out, const char *state,
+    const char *seq, const char *born)
+{
+	char *body;
+	bool ok;
+
+	body = g_strdup_printf(ANNOUNCEMENT, state, seq, born);
+	ok = site_announcement_parse(
+	    out, "i-1", (const uint8_t *)body, strlen(body));
+	g_free(body);
+	return (ok);
+}
+
+/* Guards against a worker's word that is taken wrong, or from another writer.
+ */
+static void
+test_announcement(void **state)
+{
+	struct mlk_announcement a;
+
+	(void)state;
+	assert_true(parse_announcement(&a, "ready", "4", "1776716362904"));
+	assert_string_equal(a.info.id, "i-1");
+	assert_string_equal(a.info.pool, "pool");
+	assert_string_equal(a.info.labels, "a r1");
+	assert_int_equal(a.info.state, MLK_WORKER_READY);
+	assert_int_equal(a.info.boot, 1776716362904);
+	assert_int_equal(a.info.capacity.cpu, 64000);
+	assert_int_equal(a.seq, 4);
+	assert_int_equal(a.clock_ms, 482113);
+	assert_true(parse_announcement(&a, "draining", "5", "1"));
+	assert_int_equal(a.info.state, MLK_WORKER_DRAINING);
+	assert_int_equal(a.remaining_ms, 700);
+	assert_false(parse_announcement(&a, "resting", "4", "1"));
+	assert_false(parse_announcement(&a, "ready", "\"4\"", "1"));
+	assert_false(parse_announcement(&a, "ready", "4", "null"));
+	assert_false(parse_announcement(&a, "ready", "-4", "1"));
+	assert_false(site_announcement_parse(
+	    &a, "i-1", (const uint8_t *)"\xff\x00{", 3));
+	assert_false(site_announcement_parse(&a, "", (const uint8_t *)"{}", 2));
+}
+
+static json_t *
+order_json(const struct mlk_order *order)
+{
+	char *body = site_order_body(order);
+	json_t *root = json_loads(body, 0, NULL);
+
+	free(body);
+	assert_non_null(root);
+	return (root);
+}
+
+static json_int_t
+number(const json_t *root, const char *name)
+{
+	return (json_integer_value(json_object_get(root, name)));
+}
+
+/* Guards against an order without its fence, lease or number. */
+static void
+test_order_bodies(void **state)
+{
+	struct mlk_order order = { .type = MLK_ORDER_START,
+		.fence = 7,
+		.lease_until_ms = 486000,
+		.name = { .step = 1, .index = 17, .run = 2 } };
+	json_t *root;
+
+	(void)state;
+	strcpy(order.name.id, ID);
+	order.spec.data = (uint8_t *)"text";
+	order.spec.len = 4;
+	root = order_json(&order);
+	assert_string_equal(
+	    json_string_value(json_object_get(root, "task")), ID ".0.1.17");
+	assert_string_equal(
+	    json_string_value(json_object_get(root, "spec")), "text");
+	assert_int_equal(number(root, "run"), 2);
+	assert_int_equal(number(root, "until_ms"), 486000);
+	assert_int_equal(number(root, "fence"), 7);
+	json_decref(root);
+	order.type = MLK_ORDER_LIST;
+	order.ack = 57;
+	order.wait_ms = 100;
+	order.lease_until_ms = 0;
+	root = order_json(&order);
+	assert_int_equal(number(root, "ack_cursor"), 57);
+	assert_int_equal(number(root, "wait_ms"), 100);
+	assert_null(json_object_get(root, "until_ms"));
+	assert_null(json_object_get(root, "task"));
+	json_decref(root);
+	assert_string_equal(site_order_path(MLK_ORDER_START), "/-/run-start");
+	assert_string_equal(site_order_path(MLK_ORDER_STOP), "/-/run-stop");
+	assert_string_equal(site_order_path(MLK_ORDER_LIST), "/-/hold");
+}
+
+static void
+answer(enum mlk_order_type type, int status, const char *body,
+    struct mlk_runner_event *ev, struct site_listing *listing)
+{
+	struct mlk_net_event nev = { .type = MLK_NET_HTTP_RESPONSE };
+
+	memset(ev, 0, sizeof(*ev));
+	nev.u.response.result = MLK_HTTP_OK;
+	nev.u.response.status = status;
+	nev.u.response.body = (const uint8_t *)body;
+	nev.u.response.body_len = strlen(body);
+	site_listing_init(listing);
+	site_order_answer(type, &nev, ev, listing);
+}
+
+static enum mlk_order_result
+start_result(int status, const char *body)
+{
+	struct site_listing listing;
+	struct mlk_runner_event ev;
+
+	answer(MLK_ORDER_START, status, body, &ev, &listing);
+	site_listing_clear(&listing);
+	return (ev.u.order.result);
+}
+
+/* Guards against a refusal of the worker that passes for a start. */
+static void
+test_order_results(void **state)
+{
+	(void)state;
+	assert_int_equal(start_result(200, "{\"clock_ms\":1}"), MLK_ORDER_OK);
+	assert_int_equal(
+	    start_result(409, "{\"reason\":\"fence\"}"), MLK_ORDER_FENCED);
+	assert_int_equal(
+	    start_result(409, "{\"reason\":\"old\"}"), MLK_ORDER_OLD);
+	assert_int_equal(
+	    start_result(409, "{\"reason\":\"late\"}"), MLK_ORDER_LATE);
+	assert_int_equal(
+	    start_result(409, "{\"reason\":\"room\"}"), MLK_ORDER_NO_ROOM);
+	assert_int_equal(start_result(409, "{}"), MLK_ORDER_INVALID);
+	assert_int_equal(start_result(400, "{}"), MLK_ORDER_INVALID);
+	assert_int_equal(start_result(421, ""), MLK_ORDER_OTHER_WORKER);
+	assert_int_equal(start_result(429, ""), MLK_ORDER_UNHEALTHY);
+	assert_int_equal(start_result(503, ""), MLK_ORDER_UNHEALTHY);
+}
+
+/* Guards against an order that may run and is taken for one that never left. */
+static void
+test_order_unanswered(void **state)
+{
+	struct mlk_net_event nev = { .type = MLK_NET_HTTP_RESPONSE };
+	struct mlk_runner_event ev = { 0 };
+	struct site_listing listing;
+
+	(void)state;
+	site_listing_init(&listing);
+	nev.u.response.result = MLK_HTTP_NOT_SENT;
+	site_order_answer(MLK_ORDER_START, &nev, &ev, &listing);
+	assert_int_equal(ev.u.order.result, MLK_ORDER_UNREACHED);
+	nev.u.response.timed_out = true;
+	site_order_answer(MLK_ORDER_START, &nev, &ev, &listing);
+	assert_int_equal(ev.u.order.result, MLK_ORDER_NO_ANSWER);
+	nev.u.response.timed_out = false;
+	nev.u.response.result = MLK_HTTP_LOST;
+	site_order_answer(MLK_ORDER_START, &nev, &ev, &listing);
+	assert_int_equal(ev.u.order.result, MLK_ORDER_NO_ANSWER);
+	nev.u.response.result = MLK_HTTP_TIMEOUT;
+	site_order_answer(MLK_ORDER_START, &nev, &ev, &listing);
+	assert_int_equal(ev.u.order.result, MLK_ORDER_NO_ANSWER);
+	site_listing_clear(&listing);
+}
+
+/* Guards against a list that is read in part and taken for the whole. */
+static void
+test_listing(void **state)
+{
+	struct site_listing listing;
+	struct mlk_runner_event ev;
+
+	(void)state;
+	answer(MLK_ORDER_LIST, 200,
+	    "{\"clock_ms\":9,\"born\":77,\"running\":[[\"" ID
+	    ".0.1.17\",2,\"\",41]],\"ended\":[[58,\"" ID
+	    ".0.1.9\",1,\"done\",\"\"],[59,\"" ID
+	    ".0.0.1\",3,\"lapsed\",\"\"],[60,\"" ID
+	    ".0.0.2\",1,\"alone\",\"\"]]}",
+	    &ev, &listing);
+	assert_int_equal(ev.u.order.result, MLK_ORDER_OK);
+	assert_int_equal(ev.u.order.boot, 77);
+	assert_int_equal(ev.u.order.nrunning, 1);
+	assert_string_equal(ev.u.order.running[0].name.id, ID);
+	assert_int_equal(ev.u.order.running[0].name.index, 17);
+	assert_int_equal(ev.u.order.running[0].name.run, 2);
+	assert_int_equal(ev.u.order.running[0].percent, 41);
+	assert_int_equal(ev.u.order.nended, 3);
+	assert_int_equal(ev.u.order.ended[0].number, 58);
+	assert_int_equal(ev.u.order.ended[0].how, MLK_LISTED_DONE);
+	assert_int_equal(ev.u.order.ended[1].how, MLK_LISTED_LAPSED);
+	assert_int_equal(ev.u.order.ended[2].how, MLK_LISTED_OTHER);
+	site_listing_clear(&listing);
+	answer(MLK_ORDER_LIST, 200, "{\"clock_ms\":9,\"running\":[]}", &ev,
+	    &listing);
+	assert_int_equal(ev.u.order.result, MLK_ORDER_INVALID);
+	site_listing_clear(&listing);
+}
+
+static bool
+parse_rows(struct site_rows *rows, const char *body)
+{
+	return (site_rows_parse(rows, (const uint8_t *)body, strlen(body)));
+}
+
+/* Guards against a removed row that is read as one with a value. */
+static void
+test_rows(void **state)
+{
+	const struct site_row *row;
+	struct site_rows rows;
+
+	(void)state;
+	assert_true(parse_rows(&rows,
+	    "{\"ver\":12,\"truncated\":false,\"rows\":["
+	    "{\"table\":\"t\",\"part\":\"\",\"key\":\"k\",\"ver\":11,"
+	    "\"value\":\"aGk=\"},{\"key\":\"gone\",\"ver\":12,"
+	    "\"removed\":true},{\"ver\":1}]}"));
+	assert_int_equal(rows.version, 12);
+	assert_int_equal(rows.rows->len, 2);
+	row = &g_array_index(rows.rows, struct site_row, 0);
+	assert_string_equal(row->key, "k");
+	assert_int_equal(row->len, 2);
+	assert_memory_equal(row->value, "hi", 2);
+	row = &g_array_index(rows.rows, struct site_row, 1);
+	assert_null(row->value);
+	site_rows_clear(&rows);
+	assert_false(parse_rows(&rows, "{\"rows\":[]}"));
+	site_rows_clear(&rows);
+	assert_false(parse_rows(&rows, "nothing"));
+	site_rows_clear(&rows);
+}
+
+static bool
+parse_routing(struct mlk_routing *out, const char *text)
+{
+	char why[64];
+
+	return (
+	    site_routing_parse(out, (const guchar *)text, strlen(text), why));
+}
+
+/* Guards against a configuration that is taken in part. */
+static void
+test_routing(void **state)
+{
+	struct mlk_routing routing;
+
+	(void)state;
+	assert_true(parse_routing(&routing,
+	    "{\"version\":9,\"routes\":[{\"name\":\"r\",\"host\":\"h\","
+	    "\"path_prefix\":\"/p/\",\"service\":\"s\",\"timeout_ms\":1500,"
+	    "\"target_latency_ms\":60,\"priority\":2,\"attempts\":4,"
+	    "\"stretch\":1.6}],\"services\":[{\"name\":\"s\","
+	    "\"enforces_capacity\":true}],\"limits\":{}}"));
+	assert_int_equal(routing.version, 9);
+	assert_int_equal(routing.nroutes, 1);
+	assert_string_equal(routing.routes[0].pool, "s");
+	assert_int_equal(routing.routes[0].stretch, 1600);
+	assert_int_equal(routing.routes[0].attempts, 4);
+	assert_int_equal(routing.npools, 1);
+	assert_true(routing.pools[0].guards_room);
+	mlk_routing_clear(&routing);
+	assert_false(parse_routing(&routing, "{\"version\":0,\"routes\":[]}"));
+	assert_false(parse_routing(&routing, "{\"version\":3}"));
+	assert_false(parse_routing(
+	    &routing, "{\"version\":3,\"routes\":[{\"host\":\"h\"}]}"));
+	assert_false(parse_routing(&routing, "\xfe"));
+	assert_int_equal(routing.version, 0);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_job),
+		cmocka_unit_test(test_job_malformed),
+		cmocka_unit_test(test_job_unsupported),
+		cmocka_unit_test(test_outcomes),
+		cmocka_unit_test(test_announcement),
+		cmocka_unit_test(test_order_bodies),
+		cmocka_unit_test(test_order_results),
+		cmocka_unit_test(test_order_unanswered),
+		cmocka_unit_test(test_listing),
+		cmocka_unit_test(test_rows),
+		cmocka_unit_test(test_routing),
+	};
+
+	return (cmocka_run_group_tests(tests, NULL, NULL));
+}
