--- a/src/dispatch/runner_links.c
+++ b/src/dispatch/runner_links.c
@@ -383,13 +383,38 @@
 	free->cpu = MIN(free->cpu, part);
 }
 
+/*
+ * What is told as free can be had: while an entry is silent, the lease that all
+ * runs share is too short to start anything.
+ */
 static void
 fill_load(const struct mlk_runner *r, struct mlk_worker_load *load)
 {
+	load->running = r->nactive;
+	if (!runner_takes_work(r))
+		return;
 	load->free = runner_free(r);
 	if (runner_on_trial(r))
 		limit_to_trial(r, &load->free);
-	load->running = r->nactive;
+}
+
+/*
+ * Tells all entries at once that the worker takes work again, or none.
+ */
+static void
+report_work_taken(struct mlk_runner *r)
+{
+	bool takes = runner_takes_work(r);
+	struct entry *e;
+	guint i;
+
+	if (takes == r->takes_work)
+		return;
+	r->takes_work = takes;
+	for (i = 0; i < r->entries->len; i++) {
+		e = g_ptr_array_index(r->entries, i);
+		e->report = e->attached;
+	}
 }
 
 static void
@@ -455,6 +480,7 @@
 	struct entry *e;
 	guint i;
 
+	report_work_taken(r);
 	for (i = 0; i < r->entries->len; i++) {
 		e = g_ptr_array_index(r->entries, i);
 		if (!e->attached)
--- a/src/dispatch/runner_priv.h
+++ b/src/dispatch/runner_priv.h
@@ -191,6 +191,7 @@
 	struct mlk_room offered;
 	struct health health;
 	enum mlk_worker_state state; /* as the entries know it */
+	bool takes_work; /* as they know it */
 	uint64_t list_number;
 	struct mlk_runner_effects *out; /* of the event in hand */
 };
--- a/test/dispatch_world.c
+++ b/test/dispatch_world.c
@@ -1510,5 +1510,13 @@
 void
 world_read_stats(const struct world *w, struct world_stats *out)
 {
+	uint32_t i;
+
 	*out = w->stats;
+	for (i = 0; i < w->options.agents; i++) {
+		if (w->agents[i].r != NULL)
+			out->tasks_refused +=
+			    (uint32_t)mlk_runner_counters(w->agents[i].r)
+				->refused;
+	}
 }
--- a/test/dispatch_world.h
+++ b/test/dispatch_world.h
@@ -74,6 +74,7 @@
 	uint32_t gone; /* callers that left early */
 	uint32_t unanswered; /* at the end */
 	uint32_t runs;
+	uint32_t tasks_refused; /* by agents that still live */
 };
 
 void world_read_stats(const struct world *w, struct world_stats *out);
--- a/test/test_runner.c
+++ b/test/test_runner.c
@@ -16,6 +16,7 @@
 #define FAULT_AT 6000
 #define FAULT_MS 4000
 #define END_AT 16000
+#define REFUSALS_MAX 32 /* one RUN of 8 tasks at each of 4 agents */
 
 static const struct world_options small = { .entries = 2,
 	.agents = 4,
@@ -95,6 +96,36 @@
 FAULT_TEST(test_answers_lost, WORLD_ANSWERS_LOST, FAULT_MS, 85)
 FAULT_TEST(test_callers_leave, WORLD_CALLERS_LEAVE, FAULT_MS, 60)
 
+/*
+ * Guards against tasks that go to and fro: while an entry is silent the lease
+ * at its workers is too short to start anything, and the agents must say so
+ * instead of refusing what they seem to have room for.  A refusal that crosses
+ * such a message on its way is allowed, so one a link and job at the most.
+ */
+static void
+test_refusals_do_not_loop(void **state)
+{
+	struct world_options options = small;
+	struct world_stats stats;
+	struct world *w;
+
+	(void)state;
+	options.jobs_per_s = 60;
+	for (options.seed = 1; options.seed <= SEEDS; options.seed++) {
+		w = world_create(&options);
+		world_fault(w, FAULT_AT, WORLD_ENTRY_DARK, 0, 1, FAULT_MS);
+		world_run(w, END_AT);
+		world_settle(w);
+		fail_if_violated(w, options.seed);
+		world_read_stats(w, &stats);
+		if (stats.tasks_refused > REFUSALS_MAX)
+			fail_msg("seed %llu: %u tasks refused",
+			    (unsigned long long)options.seed,
+			    stats.tasks_refused);
+		world_destroy(w);
+	}
+}
+
 int
 main(void)
 {
@@ -121,6 +152,7 @@
 		cmocka_unit_test(test_orders_late),
 		cmocka_unit_test(test_answers_lost),
 		cmocka_unit_test(test_callers_leave),
+		cmocka_unit_test(test_refusals_do_not_loop),
 	};
 
 	return (cmocka_run_group_tests(tests, NULL, NULL));
