--- a/src/dispatch/health.c
+++ b/src/dispatch/health.c
@@ -19,8 +19,9 @@
 #define STALL_PART 5
 /*
  * Healthy workers run at 0.8 to 1.25 of the usual speed, and expected times
- * are off by 0.4; the median of three runs below 0.4 of the expected rate is a
- * worker that is slow by more than a factor of two.
+ * are off by 0.4; three runs of which the median job is below 0.4 of the
+ * expected rate are those of a worker that is slow by more than a factor of
+ * two.
  */
 #define SLOW_RATE 400U
 #define SLOW_NS (50 * MS) /* and stays so */
@@ -118,19 +119,43 @@
 	return (x < y ? -1 : x > y);
 }
 
-struct sample {
-	uint32_t rates[RUNS_MAX];
+/* The progress of one job's runs here. */
+struct job_sample {
+	uint64_t job;
+	uint64_t rates; /* sum */
 	uint32_t n;
-	uint32_t njobs; /* distinct, up to SLOW_JOBS */
+};
+
+struct sample {
+	uint32_t rates[RUNS_MAX]; /* the mean of each job, sorted */
+	uint32_t n; /* runs */
+	uint32_t njobs;
 	uint32_t stalled;
 	uint32_t moving; /* rated and above 0 */
 };
 
+static struct job_sample *
+job_sample_get(struct job_sample *jobs, uint32_t *n, uint64_t job)
+{
+	uint32_t i;
+
+	for (i = 0; i < *n; i++) {
+		if (jobs[i].job == job)
+			return (&jobs[i]);
+	}
+	jobs[*n].job = job;
+	return (&jobs[(*n)++]);
+}
+
+/*
+ * A job counts once, whatever the number of its tasks: those of a long one are
+ * all slow, and most runs here may be of one job.
+ */
 static void
 take_sample(struct sample *s, const struct health_run *const *runs, uint32_t n,
     int64_t now)
 {
-	uint64_t first_job = 0;
+	struct job_sample jobs[RUNS_MAX] = { 0 }, *job;
 	uint32_t i;
 
 	memset(s, 0, sizeof(*s));
@@ -140,15 +165,16 @@
 		if (runs[i]->rated_at == 0 ||
 		    now - runs[i]->rated_at > RATE_FRESH_NS)
 			continue;
-		if (s->n == 0)
-			first_job = runs[i]->job;
-		if (s->njobs == 0 || runs[i]->job != first_job)
-			s->njobs = s->n == 0 ? 1 : SLOW_JOBS;
 		if (runs[i]->rate > 0)
 			s->moving++;
-		s->rates[s->n++] = runs[i]->rate;
+		s->n++;
+		job = job_sample_get(jobs, &s->njobs, runs[i]->job);
+		job->rates += runs[i]->rate;
+		job->n++;
 	}
-	qsort(s->rates, s->n, sizeof(s->rates[0]), by_value);
+	for (i = 0; i < s->njobs; i++)
+		s->rates[i] = (uint32_t)(jobs[i].rates / jobs[i].n);
+	qsort(s->rates, s->njobs, sizeof(s->rates[0]), by_value);
 }
 
 /*
@@ -164,7 +190,7 @@
 	jobs = health->state == HEALTH_TRIAL ? 1 : SLOW_JOBS;
 	if (s->n < runs || s->njobs < jobs)
 		return (false);
-	if (s->rates[s->n / 2] >= SLOW_RATE) {
+	if (s->rates[s->njobs / 2] >= SLOW_RATE) {
 		health->slow_since = 0;
 		return (false);
 	}
@@ -187,7 +213,7 @@
 	if (stays_slow(health, &s, now))
 		return (fall_sick(health, HEALTH_SLOW, now));
 	if (health->state == HEALTH_TRIAL && s.n > 0 &&
-	    s.rates[s.n / 2] >= FIT_RATE)
+	    s.rates[s.njobs / 2] >= FIT_RATE)
 		recover(health);
 	return (HEALTH_NONE);
 }
