--- a/test/soak.h
+++ b/test/soak.h
@@ -104,6 +104,15 @@
 	SOAK_STORE_DOWN, /* 503 */
 	SOAK_STORE_SILENT,
 	SOAK_STORE_LOSSY, /* does what is asked, answers nothing */
+	SOAK_STORE_SLOW, /* answers late, each by a time of its own */
+	SOAK_STORE_MODES,
+};
+
+/* An answer of the slow store. */
+struct soak_answer {
+	uint64_t request;
+	int64_t at;
+	json_t *root;
 };
 
 struct soak_proc {
@@ -144,6 +153,9 @@
 	int64_t store_until; /* then it is up again */
 	GArray *rows; /* struct soak_row */
 	GArray *polls; /* struct soak_poll */
+	GArray *answers; /* struct soak_answer */
+	uint32_t storm; /* routing tables that are still to come */
+	int64_t next_routing; /* the next one of them */
 	uint64_t version; /* of rows */
 	uint64_t routing; /* version of the routing table */
 	/* Workers. */
@@ -188,6 +200,7 @@
 void soak_store_routes(struct soak *s, uint64_t version);
 void soak_store_request(struct soak *s, const struct mlk_http_request *req);
 void soak_store_tick(struct soak *s);
+void soak_store_clear(struct soak *s);
 
 /* soak_workers.c */
 void soak_worker_start(struct soak *s, uint32_t i, bool same_id);
