dispatch: drop what nothing reads

From reading the change once more; behaviour stays: a field of the health record that no code sets or reads, a parameter that dispatch_task_detach() ignored, and a field of the soak's job that only its own line read. test_health, test_dispatcher and test_runner pass; the whole check was not run again.

--- a/src/dispatch/dispatcher_agents.c
+++ b/src/dispatch/dispatcher_agents.c
@@ -202,7 +202,7 @@
 	a->detached_until = d->now + DETACHED_NS;
 	(void)g_array_set_size(a->unseen, 0);
 	for (i = 0; i < a->tasks->len; i++)
-		dispatch_task_detach(d, g_ptr_array_index(a->tasks, i));
+		dispatch_task_detach(g_ptr_array_index(a->tasks, i));
 	dispatch_log(d, MLK_LOG_NOTICE, NULL, a->id,
 	    "link with the agent ended, %u tasks there", a->tasks->len);
 }
--- a/src/dispatch/dispatcher_jobs.c
+++ b/src/dispatch/dispatcher_jobs.c
@@ -266,9 +266,8 @@
  * The link over which a task was sent is closed.
  */
 void
-dispatch_task_detach(struct mlk_dispatcher *d, struct task *task)
+dispatch_task_detach(struct task *task)
 {
-	(void)d;
 	if (task->state == TASK_SENT)
 		task->state = TASK_DETACHED;
 }
--- a/src/dispatch/dispatcher_priv.h
+++ b/src/dispatch/dispatcher_priv.h
@@ -245,7 +245,7 @@
 void dispatch_parked_free(gpointer data);
 void dispatch_task_ended(struct mlk_dispatcher *d, struct task *task,
     enum mlk_run_end end, uint32_t run_ms);
-void dispatch_task_detach(struct mlk_dispatcher *d, struct task *task);
+void dispatch_task_detach(struct task *task);
 void dispatch_jobs_due(struct mlk_dispatcher *d);
 void dispatch_jobs_end(struct mlk_dispatcher *d);
 void dispatch_job_free(gpointer data);
--- a/src/dispatch/health.h
+++ b/src/dispatch/health.h
@@ -38,7 +38,6 @@
 	int64_t until; /* SICK */
 	int64_t backoff; /* of the next time */
 	int64_t slow_since; /* the rates have been low; 0: they are not */
-	int64_t slow_seen; /* last judgement that found them low */
 	uint64_t failed_jobs[3]; /* distinct, since the last success */
 	uint32_t nfailed;
 };
--- a/test/soak.h
+++ b/test/soak.h
@@ -75,7 +75,6 @@
 	uint32_t started;
 	uint32_t sends;
 	uint32_t refusals;
-	uint32_t entry; /* of the last send */
 	int64_t send_at; /* next one; 0: none is due */
 	int64_t leave_at; /* its caller leaves then; 0: stays */
 	int64_t left_at;
--- a/test/soak_callers.c
+++ b/test/soak_callers.c
@@ -53,8 +53,8 @@
 	job->send_at = 0;
 	job->sends++;
 	job->waits = true;
-	job->entry = soak_below(s, s->options.entries);
-	soak_entry_addr(s, job->entry, SOAK_PORT_CALLERS, addr);
+	soak_entry_addr(
+	    s, soak_below(s, s->options.entries), SOAK_PORT_CALLERS, addr);
 	(void)snprintf(path, sizeof(path), "%s%s", SOAK_ROUTE, job->id);
 	(void)snprintf(body, sizeof(body),
 	    "{\"spec\":\"%s\",\"best_effort\":true,\"steps\":[{\"count\":%u,"
