--- a/include/monsoonlock/app.h
+++ b/include/monsoonlock/app.h
@@ -102,6 +102,7 @@
 	char callers_listen[MLK_ADDR_MAX];
 	char readiness_listen[MLK_ADDR_MAX];
 	char links_listen[MLK_ADDR_MAX];
+	char links_advertise[MLK_ADDR_MAX]; /* where others connect to */
 	uint32_t max_connections;
 	uint32_t max_jobs;
 };
--- a/src/app/settings.c
+++ b/src/app/settings.c
@@ -214,6 +214,13 @@
 	return (MLK_ERR_SETTINGS);
 }
 
+bool
+settings_is_wildcard(const char *addr)
+{
+	return (g_str_has_prefix(addr, "0.0.0.0:") ||
+	    g_str_has_prefix(addr, "[::]:"));
+}
+
 static double
 ms_per_unit(const struct rule *rule)
 {
--- a/src/app/settings.h
+++ b/src/app/settings.h
@@ -45,6 +45,9 @@
 int settings_reject(const char *path, const char *key, const char *expected,
     const char *found, struct mlk_error *err);
 
+/* Whether an address stands for all of the machine's. */
+bool settings_is_wildcard(const char *addr);
+
 extern const char *const settings_levels[];
 extern const char *const settings_formats[];
 extern const char *const settings_policies[];
--- a/src/app/settings_entry.c
+++ b/src/app/settings_entry.c
@@ -75,8 +75,7 @@
 	}
 	if (s->options.self.addr[0] != '\0')
 		return (0);
-	if (g_str_has_prefix(s->rpc_listen, "0.0.0.0:") ||
-	    g_str_has_prefix(s->rpc_listen, "[::]:"))
+	if (settings_is_wildcard(s->rpc_listen))
 		return (settings_reject(path, "rpc.advertise",
 		    "ip:port, as rpc.listen is a wildcard", "nothing", err));
 	(void)g_strlcpy(
--- a/src/app/settings_site.c
+++ b/src/app/settings_site.c
@@ -55,6 +55,8 @@
 	SITE_RULES,
 	{ "links.listen", RULE_ADDR, AT(u.entry.links_listen), true, 0, 0, 0,
 	    NULL },
+	{ "links.advertise", RULE_ADDR, AT(u.entry.links_advertise), false, 0,
+	    0, 0, NULL },
 	{ "callers.listen", RULE_ADDR, AT(u.entry.callers_listen), true, 0, 0,
 	    0, NULL },
 	{ "callers.max_connections", RULE_UINT, AT(u.entry.max_connections),
@@ -105,6 +107,24 @@
 	return (0);
 }
 
+/*
+ * Without an address of its own to tell, an entry tells the one that it listens
+ * on, which must then be one that others can connect to.
+ */
+static int
+advertise(
+    const char *path, struct mlk_site_entry_settings *s, struct mlk_error *err)
+{
+	if (s->links_advertise[0] != '\0')
+		return (0);
+	if (settings_is_wildcard(s->links_listen))
+		return (settings_reject(path, "links.advertise",
+		    "ip:port, as links.listen is a wildcard", "nothing", err));
+	(void)g_strlcpy(
+	    s->links_advertise, s->links_listen, sizeof(s->links_advertise));
+	return (0);
+}
+
 int
 mlk_site_entry_settings_load(const char *path,
     struct mlk_site_entry_settings **out, struct mlk_error *err)
@@ -116,6 +136,11 @@
 	    sizeof(entry_rules) / sizeof(entry_rules[0]), &target, err);
 	if (rc != 0)
 		return (rc);
+	rc = advertise(path, &target.u.entry, err);
+	if (rc != 0) {
+		g_free(target.entries.items);
+		return (rc);
+	}
 	target.u.entry.site = target.site;
 	*out = g_memdup2(&target.u.entry, sizeof(target.u.entry));
 	return (0);
--- a/test/fake_worker.c
+++ b/test/fake_worker.c
@@ -73,6 +73,10 @@
 		advance_ms(w);
 }
 
+/*
+ * Runs of a task under other numbers do not count: the page does not say that
+ * a worker keeps them apart.
+ */
 static struct fake_run *
 find(struct fake_worker *w, const struct mlk_run_name *name)
 {
@@ -81,6 +85,7 @@
 	for (i = 0; i < w->nruns; i++) {
 		if (w->runs[i].name.index == name->index &&
 		    w->runs[i].name.step == name->step &&
+		    w->runs[i].name.run == name->run &&
 		    strcmp(w->runs[i].name.id, name->id) == 0)
 			return (&w->runs[i]);
 	}
@@ -124,13 +129,14 @@
 	struct fake_run *run;
 	uint32_t i;
 
-	run = find(w, &order->name);
-	if (run != NULL && run->name.run == order->name.run)
+	if (find(w, &order->name) != NULL)
 		return (MLK_ORDER_OK);
 	if (order->lease_until_ms <= fake_worker_clock(w))
 		return (MLK_ORDER_LATE);
-	if (run != NULL || highest_ended(w, &order->name) >= order->name.run)
+	if (highest_ended(w, &order->name) >= order->name.run) {
+		extend_lease(w, order->lease_until_ms);
 		return (MLK_ORDER_OLD);
+	}
 	for (i = 0; i < w->nruns; i++)
 		mlk_room_add(&used, &w->runs[i].room);
 	if (!mlk_room_fits(&w->capacity, &used))
@@ -195,8 +201,7 @@
 		break;
 	case MLK_ORDER_STOP:
 		run = find(w, &order->name);
-		if (run != NULL && run->name.run == order->name.run &&
-		    run->stop_at == 0)
+		if (run != NULL && run->stop_at == 0)
 			run->stop_at = w->now + STOP_MS;
 		break;
 	case MLK_ORDER_LIST:
--- /dev/null
+++ b/test/mutations/soak_fence.sed
@@ -0,0 +1,1 @@
+s/r->worker\.fence++;/r->worker.fence += 0;/
--- /dev/null
+++ b/test/mutations/soak_version.sed
@@ -0,0 +1,1 @@
+s/routing->version <= d->routing\.version/routing->version == d->routing.version/
--- a/test/relay.c
+++ b/test/relay.c
@@ -37,6 +37,7 @@
 	bool ended; /* the reading side has sent its end */
 	bool passed; /* and the other side has been told */
 	bool deaf; /* the other side takes nothing any more */
+	gint64 due; /* what was read is not written before (us) */
 };
 
 struct listener {
@@ -51,6 +52,7 @@
 	struct listener *listener;
 	int fd[SIDES]; /* SERVER is -1 until the client is known */
 	char from[MLK_NAME_MAX];
+	bool silent; /* for good */
 	struct flow flow[SIDES]; /* by the side that it comes from */
 };
 
@@ -59,6 +61,7 @@
 	char to[MLK_NAME_MAX];
 	bool cut;
 	bool broken;
+	uint32_t delay_ms;
 	uint32_t opened;
 };
 
@@ -104,9 +107,12 @@
 {
 	const char *colon = strchr(addr, ':');
 	struct sockaddr_in sin = { .sin_family = AF_INET };
+	char *ip = g_strndup(addr, (gsize)(colon - addr));
 
-	sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	if (inet_pton(AF_INET, ip, &sin.sin_addr) != 1)
+		g_error("relay: %s is no address", addr);
 	sin.sin_port = htons((uint16_t)strtoul(colon + 1, NULL, 10));
+	g_free(ip);
 	return (sin);
 }
 
@@ -195,6 +201,9 @@
 		} else if (ok && msg.type == MLK_MSG_PEER_HELLO) {
 			(void)g_strlcpy(
 			    c->from, msg.u.peer_hello.self.id, sizeof(c->from));
+		} else if (ok && msg.type == MLK_MSG_ATTACH) {
+			(void)g_strlcpy(
+			    c->from, msg.u.attach.id, sizeof(c->from));
 		}
 		if (ok)
 			mlk_msg_clear(&msg);
@@ -204,17 +213,26 @@
 	return (ok);
 }
 
-static bool
-is_cut(struct relay *r, const struct conn *c, int side)
+/*
+ * Returns the rule for what a side sends, or NULL.
+ */
+static const struct rule *
+rule_of(struct relay *r, const struct conn *c, int side)
 {
 	const char *to = c->listener->to;
-	const struct rule *rule;
 
 	if (c->from[0] == '\0')
-		return (false);
-	rule = side == CLIENT ? find_rule(r, c->from, to) :
-				find_rule(r, to, c->from);
-	return (rule != NULL && rule->cut);
+		return (NULL);
+	return (side == CLIENT ? find_rule(r, c->from, to) :
+				 find_rule(r, to, c->from));
+}
+
+static bool
+is_cut(struct relay *r, const struct conn *c, int side)
+{
+	const struct rule *rule = rule_of(r, c, side);
+
+	return (c->silent || (rule != NULL && rule->cut));
 }
 
 static bool
@@ -237,6 +255,8 @@
 	int fd = c->fd[1 - side];
 	ssize_t n;
 
+	if (g_get_monotonic_time() < f->due)
+		return;
 	while (f->sent < f->len && !f->deaf) {
 		n = send(fd, f->data + f->sent, f->len - f->sent, MSG_NOSIGNAL);
 		if (n < 0 && (errno == EAGAIN || errno == EINTR))
@@ -255,11 +275,16 @@
 }
 
 static void
-flow_read(struct conn *c, int side)
+flow_read(struct relay *r, struct conn *c, int side)
 {
+	const struct rule *rule = rule_of(r, c, side);
 	struct flow *f = &c->flow[side];
 	ssize_t n;
 
+	f->due = 0;
+	if (rule != NULL && rule->delay_ms > 0)
+		f->due = g_get_monotonic_time() +
+		    rule->delay_ms * G_TIME_SPAN_MILLISECOND;
 	n = recv(c->fd[side], f->data + f->len, sizeof(f->data) - f->len, 0);
 	if (n > 0)
 		f->len += (size_t)n;
@@ -280,7 +305,7 @@
 		return (false);
 	if (c->fd[SERVER] < 0) {
 		if (revents[CLIENT] != 0)
-			flow_read(c, CLIENT);
+			flow_read(r, c, CLIENT);
 		if (c->flow[CLIENT].ended || !identify(c))
 			return (false);
 		if (c->fd[SERVER] >= 0)
@@ -292,7 +317,7 @@
 			continue;
 		if (revents[side] != 0 && !c->flow[side].ended &&
 		    c->flow[side].len == 0)
-			flow_read(c, side);
+			flow_read(r, c, side);
 		flow_write(c, side);
 	}
 	return (!c->flow[CLIENT].passed || !c->flow[SERVER].passed);
@@ -441,41 +466,42 @@
 }
 
 static struct listener *
-listener_create(const char *from, const char *to, const char *target)
+listener_create(
+    const char *from, const char *to, const char *addr, const char *target)
 {
 	struct listener *l = g_new0(struct listener, 1);
-	struct sockaddr_in sin = parse_addr(":0");
+	struct sockaddr_in sin = parse_addr(addr);
 	socklen_t len = sizeof(sin);
+	char ip[INET_ADDRSTRLEN];
+	int one = 1;
 
 	(void)g_strlcpy(l->from, from, sizeof(l->from));
 	(void)g_strlcpy(l->to, to, sizeof(l->to));
 	(void)g_strlcpy(l->target, target, sizeof(l->target));
 	l->fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	(void)setsockopt(l->fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
 	if (bind(l->fd, (const struct sockaddr *)&sin, sizeof(sin)) != 0 ||
 	    listen(l->fd, BACKLOG) != 0 ||
 	    getsockname(l->fd, (struct sockaddr *)&sin, &len) != 0)
 		g_error("relay: %s", g_strerror(errno));
 	set_options(l->fd);
-	(void)snprintf(l->addr, sizeof(l->addr), "127.0.0.1:%u",
+	(void)inet_ntop(AF_INET, &sin.sin_addr, ip, sizeof(ip));
+	(void)snprintf(l->addr, sizeof(l->addr), "%s:%u", ip,
 	    (unsigned int)ntohs(sin.sin_port));
 	return (l);
 }
 
 const char *
-relay_route(void *arg, const struct mlk_deploy_process *from,
-    const struct mlk_deploy_process *to)
+relay_listen(struct relay *r, const char *from, const char *to,
+    const char *addr, const char *target)
 {
-	const char *name = to->role == MLK_DEPLOY_PLATFORM ? from->name : "";
-	struct relay *r = arg;
 	struct listener *l;
 
-	if (to->role != MLK_DEPLOY_PLATFORM && to->role != MLK_DEPLOY_ENTRY)
-		return (NULL);
 	g_mutex_lock(&r->lock);
-	l = find_listener(r, name, to->name);
+	l = find_listener(r, from, to);
 	if (l == NULL) {
-		l = listener_create(name, to->name,
-		    to->role == MLK_DEPLOY_ENTRY ? to->rpc : to->http);
+		l = listener_create(
+		    from, to, addr == NULL ? "127.0.0.1:0" : addr, target);
 		g_ptr_array_add(r->listeners, l);
 	}
 	g_mutex_unlock(&r->lock);
@@ -508,6 +534,38 @@
 	g_mutex_unlock(&r->lock);
 }
 
+void
+relay_delay(struct relay *r, const char *from, const char *to, uint32_t ms)
+{
+	g_mutex_lock(&r->lock);
+	get_rule(r, from, to)->delay_ms = ms;
+	g_mutex_unlock(&r->lock);
+}
+
+static bool
+names(const char *pattern, const char *name)
+{
+	return (pattern[0] == '\0' || strcmp(pattern, name) == 0);
+}
+
+void
+relay_silence(struct relay *r, const char *a, const char *b)
+{
+	const char *to;
+	struct conn *c;
+	guint i;
+
+	g_mutex_lock(&r->lock);
+	for (i = 0; i < r->conns->len; i++) {
+		c = g_ptr_array_index(r->conns, i);
+		to = c->listener->to;
+		if ((names(a, c->from) && names(b, to)) ||
+		    (names(b, c->from) && names(a, to)))
+			c->silent = true;
+	}
+	g_mutex_unlock(&r->lock);
+}
+
 void
 relay_retarget(struct relay *r, const char *to, const char *addr)
 {
--- a/test/soak.c
+++ b/test/soak.c
@@ -72,6 +72,20 @@
 	    out, MLK_ADDR_MAX, "127.0.2.%u:%u", i + 1, s->port + port);
 }
 
+void
+soak_entry_links(const struct soak *s, uint32_t i, char *out)
+{
+	(void)snprintf(out, MLK_ADDR_MAX, "127.0.4.%u:%u", i + 1,
+	    s->port + SOAK_PORT_LINKS);
+}
+
+void
+soak_store_addr(const struct soak *s, char *out)
+{
+	(void)snprintf(
+	    out, MLK_ADDR_MAX, "127.0.3.1:%u", s->port + SOAK_PORT_STORE);
+}
+
 void
 soak_call(struct soak *s, enum soak_call kind, uint64_t number,
     const char *method, const char *addr, const char *path, const char *headers,
@@ -126,6 +140,9 @@
 	case SOAK_CALL_VERSION:
 		soak_version_answered(s, number, nev);
 		break;
+	case SOAK_CALL_OLDER:
+		soak_older_answered(s, number, nev);
+		break;
 	case SOAK_CALL_ANNOUNCE:
 		break;
 	}
@@ -176,8 +193,7 @@
 	char addr[MLK_ADDR_MAX];
 	uint32_t i;
 
-	(void)snprintf(
-	    addr, sizeof(addr), "127.0.3.1:%u", s->port + SOAK_PORT_STORE);
+	soak_store_addr(s, addr);
 	if (mlk_loop_listen_http(s->loop, addr, err) != 0)
 		return (false);
 	for (i = 0; i < s->options.workers; i++) {
@@ -202,6 +218,7 @@
 	s->next_job = s->started + WARM_MS;
 	s->next_fault = s->started + WARM_MS;
 	s->rows = g_array_new(FALSE, FALSE, sizeof(struct soak_row));
+	s->versions = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	s->polls = g_array_new(FALSE, FALSE, sizeof(struct soak_poll));
 	s->answers = g_array_new(FALSE, FALSE, sizeof(struct soak_answer));
 	s->late = g_array_new(FALSE, FALSE, sizeof(struct soak_late));
@@ -215,6 +232,7 @@
 	options.http_body_max = BODY_MAX;
 	options.http_header_timeout_s = 60;
 	options.http_max_connections = 4000;
+	soak_links_create(s);
 	s->loop = mlk_loop_create(&options, err);
 	if (s->loop == NULL || !listen_all(s, err))
 		return (false);
@@ -260,6 +278,7 @@
 
 	mlk_loop_destroy(s->loop);
 	soak_procs_end(s);
+	soak_links_destroy(s);
 	soak_store_clear(s);
 	(void)g_array_free(s->late, TRUE);
 	g_hash_table_destroy(s->by_id);
@@ -281,9 +300,9 @@
 static bool
 options_parse(int *argc, char ***argv, struct soak_options *o)
 {
-	gint seed = 1, seconds = 40, entries = 2, workers = 4, jobs = 40;
+	gint seed = 1, seconds = 40, entries = 3, workers = 4, jobs = 40;
 	gboolean calm = FALSE;
-	gchar *programs = NULL;
+	gchar *programs = NULL, *entry = NULL, *agent = NULL;
 	GOptionEntry entries_of[] = {
 		{ "seed", 0, 0, G_OPTION_ARG_INT, &seed, "seed", "N" },
 		{ "seconds", 0, 0, G_OPTION_ARG_INT, &seconds,
@@ -294,6 +313,10 @@
 		{ "calm", 0, 0, G_OPTION_ARG_NONE, &calm, "no faults", NULL },
 		{ "programs", 0, 0, G_OPTION_ARG_STRING, &programs,
 		    "directory of the programs", "DIR" },
+		{ "entry", 0, 0, G_OPTION_ARG_STRING, &entry,
+		    "another entry program", "PATH" },
+		{ "agent", 0, 0, G_OPTION_ARG_STRING, &agent,
+		    "another agent program", "PATH" },
 		G_OPTION_ENTRY_NULL,
 	};
 	GOptionContext *context;
@@ -324,6 +347,8 @@
 	o->jobs_per_s = (uint32_t)jobs;
 	o->calm = calm;
 	o->programs = programs;
+	o->entry = entry;
+	o->agent = agent;
 	return (ok);
 }
 
--- a/test/soak.h
+++ b/test/soak.h
@@ -2,8 +2,9 @@
  * A soak of the site programs: entries and agents as processes on loopback
  * addresses, around them the platform's store, the workers and the callers,
  * played by this one process, which therefore sees every run, every answer and
- * every order.  Faults come from outside the programs: signals, answers that
- * are lost or late, workers that crash, a store that is away.
+ * every order.  Faults come from outside the programs: signals, links that are
+ * cut, slow, reset or silent, answers that are lost or late, workers that
+ * crash, a store that is away.
  *
  * What it checks, from a seed that draws traffic and faults:
  *
@@ -25,6 +26,7 @@
 #include <monsoonlock/net.h>
 
 #include "fake_worker.h"
+#include "relay.h"
 
 #define SOAK_ENTRIES_MAX 4U
 #define SOAK_WORKERS_MAX 12U
@@ -36,6 +38,7 @@
 	SOAK_CALL_JOB, /* number: the job's */
 	SOAK_CALL_ANNOUNCE,
 	SOAK_CALL_VERSION, /* number: version and entry */
+	SOAK_CALL_OLDER, /* the same; the entry has shown a higher one */
 };
 
 /* A listing that waits for an end. */
@@ -128,6 +131,25 @@
 	uint64_t boot; /* counts starts */
 };
 
+enum soak_link_kind {
+	SOAK_LINK_CUT, /* a to b */
+	SOAK_LINK_CUT_BACK, /* b to a */
+	SOAK_LINK_PART, /* both ways */
+	SOAK_LINK_ISOLATE, /* a and all other programs */
+	SOAK_LINK_DELAY,
+	SOAK_LINK_RESET,
+	SOAK_LINK_SILENCE, /* of what is open now, for good */
+	SOAK_LINK_KINDS,
+};
+
+struct soak_link_fault {
+	enum soak_link_kind kind;
+	char a[24];
+	char b[24];
+	uint32_t delay_ms;
+	int64_t until;
+};
+
 struct soak_options {
 	uint64_t seed;
 	uint32_t seconds;
@@ -136,6 +158,8 @@
 	uint32_t jobs_per_s;
 	bool calm; /* no faults */
 	const char *programs; /* directory of the two programs */
+	const char *entry; /* another entry program; NULL: none */
+	const char *agent; /* another agent program; NULL: none */
 };
 
 struct soak {
@@ -157,6 +181,10 @@
 	int64_t next_routing; /* the next one of them */
 	uint64_t version; /* of rows */
 	uint64_t routing; /* version of the routing table */
+	GArray *versions; /* uint64_t, of all routing tables */
+	/* Links between the programs, and to the store. */
+	struct relay *relay;
+	GArray *links; /* struct soak_link_fault */
 	/* Workers. */
 	struct soak_worker workers[SOAK_WORKERS_MAX];
 	GArray *late; /* struct soak_late */
@@ -190,6 +218,9 @@
     const struct soak *s, uint32_t i, uint32_t port, char *out);
 void soak_agent_addr(
     const struct soak *s, uint32_t i, uint32_t port, char *out);
+/* Where an entry listens; the relay stands at the address of its links. */
+void soak_entry_links(const struct soak *s, uint32_t i, char *out);
+void soak_store_addr(const struct soak *s, char *out);
 void soak_call(struct soak *s, enum soak_call kind, uint64_t number,
     const char *method, const char *addr, const char *path, const char *headers,
     const char *body, uint32_t timeout_ms);
@@ -214,6 +245,17 @@
     struct soak *s, uint64_t number, const struct mlk_net_event *nev);
 void soak_version_answered(
     struct soak *s, uint64_t number, const struct mlk_net_event *nev);
+void soak_older_answered(
+    struct soak *s, uint64_t number, const struct mlk_net_event *nev);
+
+/* soak_links.c */
+void soak_links_create(struct soak *s);
+void soak_links_destroy(struct soak *s);
+void soak_links_open_entry(struct soak *s, const struct soak_proc *p);
+const char *soak_links_open_store(struct soak *s, const struct soak_proc *p);
+void soak_links_fault(struct soak *s);
+void soak_links_dark(struct soak *s, const char *id);
+void soak_links_tick(struct soak *s, bool heal);
 
 /* soak_procs.c */
 int soak_procs_create(struct soak *s);
--- a/test/soak_callers.c
+++ b/test/soak_callers.c
@@ -8,15 +8,23 @@
 
 #include "soak.h"
 
-#define CALL_TIMEOUT_MS 3500
+#define CALL_TIMEOUT_MS 7000
 #define RESEND_MS 1300
 #define SENDS_MAX 4U
 #define COUNT_MAX 6U
 #define LEAVE_PERCENT 4U
-#define LOOK_MS 200
+/*
+ * Jobs longer than it takes to find a silent link and to start elsewhere, so
+ * that a run that should have ended is still there then.
+ */
+#define LONG_PERCENT 3U
+#define LONG_MIN_MS 1000U
+#define LONG_SPREAD_MS 3000U
+#define LOOK_MS 100
 #define LOOK_TIMEOUT_MS 1000
+#define OLDER_MAX 3U /* versions that an entry is asked for at a time */
 #define VERSION_ENTRY 8U /* entries that a number has room for */
-#define HEADERS "Content-Type: application/json\r\nX-Deadline-Ms: 2500\r\n"
+#define HEADERS "Content-Type: application/json\r\nX-Deadline-Ms: 6000\r\n"
 
 struct soak_job *
 soak_job_by_id(struct soak *s, const char *id)
@@ -37,6 +45,8 @@
 	job->work_ms = 20 + soak_below(s, 200);
 	if (soak_below(s, 20) == 0)
 		job->work_ms *= 5;
+	if (!soak_faults_over(s) && soak_below(s, 100) < LONG_PERCENT)
+		job->work_ms = LONG_MIN_MS + soak_below(s, LONG_SPREAD_MS);
 	job->send_at = s->now;
 	job->created = s->now;
 	if (soak_below(s, 100) < LEAVE_PERCENT)
@@ -145,27 +155,61 @@
 }
 
 /*
- * Asks the entries for the route that came with the newest version, and for
- * that of the highest version that each has shown.
+ * Asks entry i for the route that came with a version.
  */
 static void
-look_at_versions(struct soak *s)
+look_at(struct soak *s, uint32_t i, uint64_t version, enum soak_call kind)
 {
 	char addr[MLK_ADDR_MAX], path[32];
-	uint32_t i;
+
+	soak_entry_addr(s, i, SOAK_PORT_CALLERS, addr);
+	(void)snprintf(
+	    path, sizeof(path), "/v%llu/", (unsigned long long)version);
+	soak_call(s, kind,
+	    (++s->last_call & 0xff) << 48 | (s->procs[i].boot & 0xffff) << 32 |
+		version * VERSION_ENTRY | i,
+	    "GET", addr, path, "", NULL, LOOK_TIMEOUT_MS);
+}
+
+/*
+ * Asks the entries for the newest version, and for some that are older than
+ * what they have shown.
+ */
+static void
+look_at_versions(struct soak *s)
+{
+	uint32_t i, older;
+	uint64_t version;
+	guint k;
 
 	for (i = 0; i < s->options.entries; i++) {
-		soak_entry_addr(s, i, SOAK_PORT_CALLERS, addr);
-		(void)snprintf(path, sizeof(path), "/v%llu/",
-		    (unsigned long long)s->routing);
-		soak_call(s, SOAK_CALL_VERSION,
-		    (++s->last_call & 0xff) << 48 |
-			(s->procs[i].boot & 0xffff) << 32 |
-			s->routing * VERSION_ENTRY | i,
-		    "GET", addr, path, "", NULL, LOOK_TIMEOUT_MS);
+		look_at(s, i, s->routing, SOAK_CALL_VERSION);
+		older = 0;
+		for (k = s->versions->len; k > 0 && older < OLDER_MAX; k--) {
+			version = g_array_index(s->versions, uint64_t, k - 1);
+			if (version >= s->procs[i].shown)
+				continue;
+			look_at(s, i, version, SOAK_CALL_OLDER);
+			older++;
+		}
 	}
 }
 
+/*
+ * Returns the program that a look went to, NULL when another boot of it has
+ * answered, or nothing has.
+ */
+static struct soak_proc *
+looked_at(struct soak *s, uint64_t number, const struct mlk_net_event *nev)
+{
+	struct soak_proc *proc = &s->procs[number % VERSION_ENTRY];
+
+	if (nev->u.response.result != MLK_HTTP_OK ||
+	    (proc->boot & 0xffff) != (number >> 32 & 0xffff))
+		return (NULL);
+	return (proc);
+}
+
 /*
  * The route of a version is there exactly while that version is in force, so
  * that an entry that shows an older one than before has fallen back.
@@ -175,10 +219,9 @@
     struct soak *s, uint64_t number, const struct mlk_net_event *nev)
 {
 	uint64_t version = (number & 0xffffffff) / VERSION_ENTRY;
-	struct soak_proc *proc = &s->procs[number % VERSION_ENTRY];
+	struct soak_proc *proc = looked_at(s, number, nev);
 
-	if (nev->u.response.result != MLK_HTTP_OK ||
-	    (proc->boot & 0xffff) != (number >> 32 & 0xffff))
+	if (proc == NULL)
 		return;
 	if (nev->u.response.status == 200 && version > proc->shown)
 		proc->shown = version;
@@ -188,6 +231,21 @@
 		    (unsigned long long)version);
 }
 
+/*
+ * The entry had shown a higher version in this boot when it was asked.
+ */
+void
+soak_older_answered(
+    struct soak *s, uint64_t number, const struct mlk_net_event *nev)
+{
+	uint64_t version = (number & 0xffffffff) / VERSION_ENTRY;
+	const struct soak_proc *proc = looked_at(s, number, nev);
+
+	if (proc != NULL && nev->u.response.status == 200)
+		soak_violation(s, "version: %s fell back to %llu", proc->id,
+		    (unsigned long long)version);
+}
+
 void
 soak_callers_tick(struct soak *s)
 {
--- /dev/null
+++ b/test/soak_links.c
@@ -0,0 +1,161 @@
+/*
+ * The network of the soak: a relay stands before the links of each entry and,
+ * for each program, before the store.  It cuts, delays, resets and silences
+ * what passes it, for a time that is drawn with the fault.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include "soak.h"
+
+#define STORE "store"
+#define STORE_PERCENT 25U /* of the faults concern the way to the store */
+#define FAULT_MIN_MS 50U
+#define FAULT_SPREAD_MS 3000U
+#define RESET_MS 20U
+#define DELAY_MAX_MS 300U
+
+void
+soak_links_create(struct soak *s)
+{
+	s->relay = relay_create();
+	s->links = g_array_new(FALSE, FALSE, sizeof(struct soak_link_fault));
+}
+
+void
+soak_links_destroy(struct soak *s)
+{
+	relay_destroy(s->relay);
+	(void)g_array_free(s->links, TRUE);
+}
+
+/*
+ * Opens the way to the links of an entry, at the address that it advertises.
+ */
+void
+soak_links_open_entry(struct soak *s, const struct soak_proc *p)
+{
+	char addr[MLK_ADDR_MAX], target[MLK_ADDR_MAX];
+
+	soak_entry_addr(s, p->index, SOAK_PORT_LINKS, addr);
+	soak_entry_links(s, p->index, target);
+	(void)relay_listen(s->relay, "", p->id, addr, target);
+}
+
+/*
+ * Opens the way of a program to the store, and returns its address.
+ */
+const char *
+soak_links_open_store(struct soak *s, const struct soak_proc *p)
+{
+	char target[MLK_ADDR_MAX];
+
+	soak_store_addr(s, target);
+	return (relay_listen(s->relay, p->id, STORE, NULL, target));
+}
+
+static void
+cut(struct soak *s, const char *a, const char *b, bool cut)
+{
+	relay_cut(s->relay, a, b, cut);
+}
+
+/*
+ * Cuts an entry or an agent off all other programs, or joins it again.
+ */
+static void
+isolate(struct soak *s, const char *id, bool on)
+{
+	uint32_t i;
+
+	for (i = 0; i < s->nprocs; i++) {
+		if (strcmp(s->procs[i].id, id) != 0)
+			relay_part(s->relay, id, s->procs[i].id, on);
+	}
+}
+
+static void
+fault_set(struct soak *s, const struct soak_link_fault *f, bool on)
+{
+	switch (f->kind) {
+	case SOAK_LINK_CUT:
+		cut(s, f->a, f->b, on);
+		break;
+	case SOAK_LINK_CUT_BACK:
+		cut(s, f->b, f->a, on);
+		break;
+	case SOAK_LINK_PART:
+		relay_part(s->relay, f->a, f->b, on);
+		break;
+	case SOAK_LINK_ISOLATE:
+		isolate(s, f->a, on);
+		break;
+	case SOAK_LINK_DELAY:
+		relay_delay(s->relay, f->a, f->b, on ? f->delay_ms : 0);
+		relay_delay(s->relay, f->b, f->a, on ? f->delay_ms : 0);
+		break;
+	case SOAK_LINK_RESET:
+		relay_break(s->relay, f->a, f->b, on);
+		break;
+	case SOAK_LINK_SILENCE:
+		if (on)
+			relay_silence(s->relay, f->a, f->b);
+		break;
+	case SOAK_LINK_KINDS:
+		break;
+	}
+}
+
+/*
+ * Draws a fault between a program and an entry, or the store.
+ */
+void
+soak_links_fault(struct soak *s)
+{
+	/* Entries come first in the table; half of the faults are between two.
+	 */
+	const struct soak_proc *p = &s->procs[soak_below(
+	    s, soak_below(s, 2) == 0 ? s->options.entries : s->nprocs)];
+	const struct soak_proc *q =
+	    &s->procs[soak_below(s, s->options.entries)];
+	struct soak_link_fault f = { 0 };
+
+	f.kind = (enum soak_link_kind)soak_below(s, SOAK_LINK_KINDS);
+	f.until = s->now + FAULT_MIN_MS + soak_below(s, FAULT_SPREAD_MS);
+	if (f.kind == SOAK_LINK_RESET)
+		f.until = s->now + RESET_MS;
+	f.delay_ms = 1 + soak_below(s, DELAY_MAX_MS);
+	(void)g_strlcpy(f.a, p->id, sizeof(f.a));
+	(void)g_strlcpy(f.b, q->id, sizeof(f.b));
+	if (p == q || soak_below(s, 100) < STORE_PERCENT)
+		(void)g_strlcpy(f.b, STORE, sizeof(f.b));
+	fault_set(s, &f, true);
+	(void)g_array_append_val(s->links, f);
+}
+
+/*
+ * A machine loses power: nothing on its connections tells the others.
+ */
+void
+soak_links_dark(struct soak *s, const char *id)
+{
+	relay_silence(s->relay, id, "");
+}
+
+/*
+ * Ends the faults that are over, or all of them.
+ */
+void
+soak_links_tick(struct soak *s, bool heal)
+{
+	struct soak_link_fault f;
+	guint i;
+
+	for (i = s->links->len; i > 0; i--) {
+		f = g_array_index(s->links, struct soak_link_fault, i - 1);
+		if (!heal && s->now < f.until)
+			continue;
+		(void)g_array_remove_index_fast(s->links, i - 1);
+		fault_set(s, &f, false);
+	}
+}
--- a/test/soak_procs.c
+++ b/test/soak_procs.c
@@ -15,8 +15,8 @@
 #include "soak.h"
 
 #define GRACE_MS 3000
-#define FAULT_GAP_MIN_MS 150U
-#define FAULT_GAP_MS 1200U
+#define FAULT_GAP_MIN_MS 60U
+#define FAULT_GAP_MS 600U
 #define RESTART_MS 200U
 #define RESTART_SPREAD_MS 1200U
 
@@ -26,6 +26,7 @@
 	char addr[MLK_ADDR_MAX];
 	uint32_t i;
 
+	/* With links.port this gives the addresses of the relay. */
 	(void)fprintf(f, "entries: [");
 	for (i = 0; i < s->options.entries; i++) {
 		soak_entry_addr(s, i, SOAK_PORT_CONTROL, addr);
@@ -37,11 +38,13 @@
 static void
 write_entry(struct soak *s, FILE *f, uint32_t i)
 {
-	char addr[MLK_ADDR_MAX];
+	char addr[MLK_ADDR_MAX], listen[MLK_ADDR_MAX];
 
+	soak_entry_links(s, i, listen);
 	soak_entry_addr(s, i, SOAK_PORT_LINKS, addr);
-	(void)fprintf(f, "links: {listen: \"%s\", port: %u}\n", addr,
-	    s->port + SOAK_PORT_LINKS);
+	(void)fprintf(f,
+	    "links: {listen: \"%s\", advertise: \"%s\", port: %u}\n", listen,
+	    addr, s->port + SOAK_PORT_LINKS);
 	soak_entry_addr(s, i, SOAK_PORT_CALLERS, addr);
 	(void)fprintf(f, "callers: {listen: \"%s\"}\n", addr);
 	soak_entry_addr(s, i, SOAK_PORT_READY, addr);
@@ -82,21 +85,24 @@
 	else
 		write_agent(s, f, p->index);
 	(void)fprintf(f,
-	    "store: {address: \"127.0.3.1:%u\"}\n"
+	    "store: {address: \"%s\"}\n"
 	    "timing: {grace_s: %d, resend_ms: 1300}\n",
-	    s->port + SOAK_PORT_STORE, GRACE_MS / 1000);
+	    soak_links_open_store(s, p), GRACE_MS / 1000);
 	return (fclose(f));
 }
 
 static void
 exec_program(const struct soak *s, const struct soak_proc *p)
 {
+	const char *other = p->entry ? s->options.entry : s->options.agent;
 	char program[256], settings[128], out[128];
 	sigset_t none;
 	int fd;
 
 	(void)snprintf(program, sizeof(program), "%s/monsoonlock-site-%s",
 	    s->options.programs, p->entry ? "entry" : "agent");
+	if (other != NULL)
+		(void)g_strlcpy(program, other, sizeof(program));
 	(void)snprintf(settings, sizeof(settings), "%s/%s.yaml", s->dir, p->id);
 	(void)snprintf(out, sizeof(out), "%s/%s.log", s->dir, p->id);
 	(void)sigemptyset(&none);
@@ -152,6 +158,8 @@
 		p->index = p->entry ? i : i - s->options.entries;
 		(void)snprintf(p->id, sizeof(p->id), "%s-%u",
 		    p->entry ? "entry" : "agent", p->index);
+		if (p->entry)
+			soak_links_open_entry(s, p);
 		if (write_settings(s, p) != 0)
 			return (-1);
 		proc_start(s, p);
@@ -207,6 +215,16 @@
 	(void)kill(p->pid, SIGKILL);
 }
 
+/*
+ * Its machine loses power: the others see no end of its connections.
+ */
+static void
+proc_dark(struct soak *s, struct soak_proc *p)
+{
+	soak_links_dark(s, p->id);
+	proc_kill(p);
+}
+
 static void
 proc_pause(struct soak *s, struct soak_proc *p)
 {
@@ -233,7 +251,7 @@
 static void
 worker_fault(struct soak *s, struct soak_worker *w, uint32_t i)
 {
-	switch (soak_below(s, 7)) {
+	switch (soak_below(s, 9)) {
 	case 0:
 	case 1:
 		soak_worker_start(s, i, soak_below(s, 2) == 0);
@@ -245,12 +263,14 @@
 		w->lost_percent = soak_below(s, 30);
 		break;
 	case 4:
-		w->late_percent = soak_below(s, 30);
-		break;
 	case 5:
+	case 6:
+		w->late_percent = soak_below(s, 60);
+		break;
+	case 7:
 		w->fake.speed = soak_below(s, 3) * 0.5;
 		break;
-	case 6:
+	case 8:
 		w->fake.fails = !w->fake.fails;
 		break;
 	}
@@ -263,11 +283,13 @@
 	uint32_t i = soak_below(s, s->options.workers);
 
 	s->faults++;
-	switch (soak_below(s, 10)) {
+	switch (soak_below(s, 18)) {
 	case 0:
-	case 1:
 		proc_kill(p);
 		break;
+	case 1:
+		proc_dark(s, p);
+		break;
 	case 2:
 	case 3:
 		proc_pause(s, p);
@@ -285,9 +307,16 @@
 		s->store_until = s->now + 200 + soak_below(s, 4000);
 		break;
 	case 7:
+	case 8:
 		s->storm = 1 + soak_below(s, 8);
 		s->next_routing = s->now;
 		break;
+	case 9:
+	case 10:
+	case 11:
+	case 12:
+		soak_links_fault(s);
+		break;
 	default:
 		worker_fault(s, &s->workers[i], i);
 		break;
@@ -318,8 +347,10 @@
 {
 	if (s->options.calm || soak_faults_over(s)) {
 		heal(s);
+		soak_links_tick(s, true);
 		return;
 	}
+	soak_links_tick(s, false);
 	if (s->now < s->next_fault)
 		return;
 	fault(s);
--- a/test/soak_store.c
+++ b/test/soak_store.c
@@ -73,6 +73,7 @@
 	value = g_base64_encode((const guchar *)text, strlen(text));
 	s->version++;
 	s->routing = version;
+	(void)g_array_append_val(s->versions, version);
 	row_put(s, OP_TABLE, OP_KEY, value);
 	g_free(value);
 	free(text);
@@ -299,6 +300,7 @@
 		json_decref(
 		    g_array_index(s->answers, struct soak_answer, i).root);
 	(void)g_array_free(s->rows, TRUE);
+	(void)g_array_free(s->versions, TRUE);
 	(void)g_array_free(s->polls, TRUE);
 	(void)g_array_free(s->answers, TRUE);
 }
--- a/test/soak_workers.c
+++ b/test/soak_workers.c
@@ -12,6 +12,12 @@
 #define LEFT_MS 1600 /* from a caller's leaving to the last of its runs */
 #define CPU 64000
 #define TASK_MEM_MB 100
+/*
+ * Starts without an answer are carried out so late: many of them before the
+ * leases that they were sent under run out.
+ */
+#define LATE_MIN_MS 60U
+#define LATE_SPREAD_MS 1500U
 
 /*
  * Starts a new life of a worker, under its old id if told so.
@@ -250,7 +256,7 @@
 	    soak_below(s, 100) < w->late_percent) {
 		late.worker = i;
 		late.boot = w->fake.boot;
-		late.at = s->now + 200 + soak_below(s, 3000);
+		late.at = s->now + LATE_MIN_MS + soak_below(s, LATE_SPREAD_MS);
 		late.order = order;
 		(void)g_array_append_val(s->late, late);
 		return;
@@ -356,7 +362,7 @@
 			job = soak_job_by_id(s, name->id);
 			if (g_hash_table_contains(seen, key))
 				soak_violation(
-				    s, "one run: %s on two workers", key);
+				    s, "one run: %s is at work twice", key);
 			if (job != NULL && job->left_at != 0 &&
 			    s->now > job->left_at + LEFT_MS)
 				soak_violation(s, "left: %s still runs", key);
--- a/test/test_membership.c
+++ b/test/test_membership.c
@@ -56,12 +56,31 @@
 	g_usleep((gulong)(seconds * G_USEC_PER_SEC));
 }
 
+/*
+ * One listener stands before each entry, and one for each entry and agent
+ * before the platform.
+ */
+static const char *
+route(void *arg, const struct mlk_deploy_process *from,
+    const struct mlk_deploy_process *to)
+{
+	switch (to->role) {
+	case MLK_DEPLOY_PLATFORM:
+		return (
+		    relay_listen(arg, from->name, to->name, NULL, to->http));
+	case MLK_DEPLOY_ENTRY:
+		return (relay_listen(arg, "", to->name, NULL, to->rpc));
+	default:
+		return (NULL);
+	}
+}
+
 static void
 start(struct failure *f, struct failure_options *options)
 {
 	options->workers = WORKERS;
 	options->load = 0.4;
-	options->route = relay_route;
+	options->route = route;
 	options->route_arg = relay;
 	failure_start(f, options);
 }
--- a/test/test_settings.c
+++ b/test/test_settings.c
@@ -345,6 +345,35 @@
 	(void)g_string_free(out, TRUE);
 }
 
+#define SITE_ENTRY                                              \
+	"id: e1\ndc: north\ncallers: {listen: '10.0.0.1:80'}\n" \
+	"readiness: {listen: '10.0.0.1:81'}\nstore: {address: " \
+	"'10.0.0.9:90'}\n"
+
+/* Guards against an entry that tells others an address which they cannot
+ * connect to, or not the one that it was told to tell. */
+static void
+test_advertised_links(void **state)
+{
+	struct mlk_site_entry_settings *s = NULL;
+	struct mlk_error err = { 0 };
+
+	(void)state;
+	write_file(SITE_ENTRY "links: {listen: '10.0.0.1:70'}\n");
+	assert_int_equal(mlk_site_entry_settings_load(file, &s, &err), 0);
+	assert_string_equal(s->links_advertise, "10.0.0.1:70");
+	mlk_site_entry_settings_free(s);
+	write_file(SITE_ENTRY
+	    "links: {listen: '0.0.0.0:70', advertise: '10.0.0.2:71'}\n");
+	assert_int_equal(mlk_site_entry_settings_load(file, &s, &err), 0);
+	assert_string_equal(s->links_advertise, "10.0.0.2:71");
+	mlk_site_entry_settings_free(s);
+	write_file(SITE_ENTRY "links: {listen: '0.0.0.0:70'}\n");
+	assert_int_equal(
+	    mlk_site_entry_settings_load(file, &s, &err), MLK_ERR_SETTINGS);
+	assert_non_null(strstr(err.msg, "links.advertise: expected ip:port"));
+}
+
 int
 main(void)
 {
@@ -359,6 +388,7 @@
 		cmocka_unit_test(test_token_roles),
 		cmocka_unit_test(test_log_lines),
 		cmocka_unit_test(test_metrics_text),
+		cmocka_unit_test(test_advertised_links),
 	};
 
 	return (cmocka_run_group_tests(tests, make_file, remove_file));
