test: keep the thread that starts an agent while the agent is needed

test_addresses_reused failed once in three runs: the new agent got no work. Cause: it is started with a parent-death signal, which the kernel sends when the thread that started it ends, and that thread ended right after the start. It went well only where setpriv(1) asked for the signal later than that. Ruled out: the port of the dead agent, which no connection can take (below the ephemeral range), and an agent that ends by itself.

--- a/test/test_membership.c
+++ b/test/test_membership.c
@@ -436,6 +436,8 @@
 
 struct reuse {
 	struct failure *f;
+	GThread *keeper; /* of agent-new, NULL: not started */
+	gint over; /* the keeper ends */
 	GPid pid; /* of agent-new */
 	gsize log; /* of endpoint-1, after the death of agent-1 */
 };
@@ -466,6 +468,21 @@
 	g_free(old);
 }
 
+/*
+ * Starts agent-new and stays until it is no longer needed: the kernel sends a
+ * process its parent-death signal when the thread that started it ends.
+ */
+static gpointer
+keep_agent_new(gpointer data)
+{
+	struct reuse *u = data;
+
+	start_agent_new(u);
+	while (!g_atomic_int_get(&u->over))
+		sleep_s(0.01);
+	return (NULL);
+}
+
 static gpointer
 reuse_addresses(gpointer data)
 {
@@ -480,15 +497,17 @@
 	(void)mlk_deploy_kill(u->f->deploy, "agent-1", &err);
 	(void)mlk_deploy_wait_ended(u->f->deploy, "agent-1", 1000, &err);
 	u->log = log_length(u->f, "endpoint-1");
-	start_agent_new(u);
+	u->keeper = g_thread_new("agent-new", keep_agent_new, u);
 	return (NULL);
 }
 
 static void
 end_agent_new(struct reuse *u)
 {
-	if (u->pid == 0)
+	if (u->keeper == NULL)
 		return;
+	g_atomic_int_set(&u->over, 1);
+	(void)g_thread_join(u->keeper);
 	(void)kill(u->pid, SIGKILL);
 	(void)waitpid(u->pid, NULL, 0);
 	g_spawn_close_pid(u->pid);
