dispatch: tell refused callers when their turn comes

Cause: every refusal said one second. The load is a crest of seconds beyond what the workers carry: who is refused in it returns into it, together with the others who were.

A refused caller is told the time at which what waits now has drained, by the measured rate, and those refused before it have had their turn; half of what drains is left to callers that come for the first time; 1 to 10 s.

--- a/src/dispatch/dispatcher_jobs.c
+++ b/src/dispatch/dispatcher_jobs.c
@@ -470,7 +470,8 @@
 	    "given up after %" PRId64 " ms: %s, %u of %u tasks left, %u sent",
 	    (d->now - job->arrived) / MS, cause, job->nleft, job->ntasks,
 	    job->nsent);
-	job_answer(d, job, outcome, RETRY_AFTER_MS);
+	job_answer(d, job, outcome,
+	    outcome == MLK_WORK_REFUSED ? dispatch_return_ms(d, job) : 0);
 }
 
 /*
@@ -501,6 +502,7 @@
 	gpointer job;
 	guint i;
 
+	dispatch_drain_due(d);
 	over = g_ptr_array_new();
 	g_hash_table_iter_init(&iter, d->jobs);
 	while (g_hash_table_iter_next(&iter, NULL, &job)) {
--- a/src/dispatch/dispatcher_place.c
+++ b/src/dispatch/dispatcher_place.c
@@ -181,6 +181,7 @@
 		if (task->moves >= MOVES_MAX)
 			msg->u.run.movable = 0;
 		mlk_room_add(&unseen.room, &job->steps[step].room);
+		dispatch_drain_sent(d, task->work);
 		dispatch_dequeue(d, task);
 		task->state = TASK_SENT;
 		task->agent = a;
--- a/src/dispatch/dispatcher_priv.h
+++ b/src/dispatch/dispatcher_priv.h
@@ -43,6 +43,7 @@
  * left every 100 ms.
  */
 #define PAUSE_GRACE_NS (150 * MS)
+/* Where nothing tells when a refused caller would be served. */
 #define RETRY_AFTER_MS 1000
 /*
  * After its start an entry has a routing table within 0.1 s and agents within
@@ -125,6 +126,7 @@
 	struct agent *agent; /* SENT, DETACHED */
 	uint32_t failures;
 	uint32_t moves; /* away from sick workers */
+	double work; /* expected, while QUEUED */
 };
 
 /* What is known of the run times of a route's tasks. */
@@ -174,6 +176,14 @@
 	bool valid; /* it has work */
 };
 
+/* How fast work drains, in thousandths of a core times ms per ns. */
+struct drain {
+	int64_t since; /* start of the window */
+	double sent; /* in it */
+	double rate;
+	int64_t next_return; /* of a caller that is refused */
+};
+
 struct mlk_dispatcher {
 	struct mlk_dispatcher_options options;
 	struct mlk_dispatch_counters counters;
@@ -195,6 +205,8 @@
 	GHashTable *paces; /* route name -> struct pace */
 	GSequence *queue; /* struct job with queued tasks, most urgent first */
 	uint32_t nqueued; /* tasks */
+	double queued_work; /* of them */
+	struct drain drain;
 	uint32_t nsent;
 	bool place; /* room or queue has changed */
 	bool backlog; /* the last look at all of the queue left some of it */
@@ -258,6 +270,13 @@
 void dispatch_queue_want(
     struct mlk_dispatcher *d, const char *pool, struct mlk_want *want);
 
+/* dispatcher_drain.c */
+double dispatch_task_work(
+    struct mlk_dispatcher *d, const struct job *job, uint32_t step);
+void dispatch_drain_sent(struct mlk_dispatcher *d, double work);
+void dispatch_drain_due(struct mlk_dispatcher *d);
+uint32_t dispatch_return_ms(struct mlk_dispatcher *d, const struct job *job);
+
 /* dispatcher_place.c */
 void dispatch_place(struct mlk_dispatcher *d, bool tick);
 void dispatch_offer(
--- a/src/dispatch/dispatcher_queue.c
+++ b/src/dispatch/dispatcher_queue.c
@@ -37,6 +37,8 @@
 	task->agent = NULL;
 	job->nqueued++;
 	d->nqueued++;
+	task->work = dispatch_task_work(d, job, task->step);
+	d->queued_work += task->work;
 	if (job->place == NULL) {
 		job->place =
 		    g_sequence_insert_sorted(d->queue, job, by_start, NULL);
@@ -55,6 +57,8 @@
 
 	job->nqueued--;
 	d->nqueued--;
+	/* Rounding errors must not outlive the queue. */
+	d->queued_work = d->nqueued == 0 ? 0 : d->queued_work - task->work;
 	if (job->nqueued == 0) {
 		g_sequence_remove(job->place);
 		job->place = NULL;
--- a/test/dispatch_world.c
+++ b/test/dispatch_world.c
@@ -22,6 +22,7 @@
 #define SETTLE_STEP_MS 2000
 #define LATE_MIN_MS 60
 #define MUTE_PERCENT 40
+#define RETURNS_MAX 4U
 #define LATE_MAX_MS 6000
 
 enum event_type {
@@ -69,6 +70,7 @@
 	uint32_t job;
 	uint32_t attempt;
 	enum mlk_work_outcome outcome;
+	uint32_t retry_after_ms;
 	struct mlk_msg msg;
 	struct mlk_order order;
 	uint64_t boot;
@@ -89,6 +91,7 @@
 	uint32_t goal_ms;
 	uint32_t attempts;
 	uint32_t rejected;
+	uint32_t returns;
 	bool open; /* an attempt waits for its answer */
 	uint32_t entry; /* of that attempt */
 	uint64_t request;
@@ -732,13 +735,14 @@
 
 static void
 reply(struct world *w, uint32_t i, uint64_t request,
-    enum mlk_work_outcome outcome)
+    enum mlk_work_outcome outcome, uint32_t retry_after_ms)
 {
 	struct event *ev;
 
 	ev = push(w, w->now + 1, EV_REPLY, i);
 	ev->request = request;
 	ev->outcome = outcome;
+	ev->retry_after_ms = retry_after_ms;
 }
 
 static void
@@ -760,7 +764,8 @@
 				link_close(w, l, false);
 			break;
 		case MLK_DISPATCH_FX_ANSWER:
-			reply(w, i, f->u.answer.request, f->u.answer.outcome);
+			reply(w, i, f->u.answer.request, f->u.answer.outcome,
+			    f->u.answer.retry_after_ms);
 			break;
 		case MLK_DISPATCH_FX_LOG:
 			log_decision(w, "entry-", i, &f->u.log);
@@ -938,6 +943,7 @@
 		if (job->done != (1U << job->count) - 1)
 			violated(w, "whole", job);
 		w->stats.completed++;
+		w->stats.returned_served += job->returns == 1;
 		if (w->now - job->sent_at <= job->goal_ms)
 			w->stats.in_goal++;
 		job->over = true;
@@ -951,9 +957,14 @@
 	case MLK_WORK_INVALID:
 		w->stats.refused++;
 		job->rejected++;
-		job->over = true;
+		job->over = !w->options.returns || job->returns == RETURNS_MAX;
 		if (job->started && job->rejected == job->attempts)
 			violated(w, "not run", job);
+		if (!job->over) {
+			w->stats.returned += job->returns++ == 0;
+			push(w, w->now + ev->retry_after_ms, EV_SUBMIT, 0)
+			    ->job = j - 1;
+		}
 		break;
 	case MLK_WORK_BROKEN:
 	case MLK_WORK_LATE:
@@ -991,13 +1002,15 @@
 		uint32_t count;
 		uint32_t work_ms;
 	} kinds[] = { { 25, 8, 50 }, { 15, 4, 760 }, { 60, 2, 170 } };
-	uint32_t i, k, x = below(w, 100), mean;
+	uint32_t i, k, x = below(w, 100), mean, per_s = w->options.jobs_per_s;
 	struct wjob *job;
 
 	if (!w->traffic)
 		return;
-	(void)push(w, w->now + 1 + below(w, 2 * 1000 / w->options.jobs_per_s),
-	    EV_ARRIVAL, 0);
+	if (w->now >= w->options.crest_at &&
+	    w->now < w->options.crest_at + w->options.crest_ms)
+		per_s *= w->options.crest_times;
+	(void)push(w, w->now + 1 + below(w, 2 * 1000 / per_s), EV_ARRIVAL, 0);
 	for (k = 0; x >= kinds[k].weight; k++)
 		x -= kinds[k].weight;
 	job = g_new0(struct wjob, 1);
--- a/test/dispatch_world.h
+++ b/test/dispatch_world.h
@@ -49,6 +49,11 @@
 	uint32_t agents;
 	uint32_t jobs_per_s;
 	uint32_t cpu; /* of each worker, thousandths of a core */
+	/* Arrivals at so many times the rate, for crest_ms; 0: no crest. */
+	int64_t crest_at;
+	uint32_t crest_ms;
+	uint32_t crest_times;
+	bool returns; /* refused callers come back when they are told to */
 };
 
 struct world;
@@ -71,7 +76,9 @@
 	uint32_t completed;
 	uint32_t in_goal; /* of them, by the callers' clocks */
 	uint32_t failed;
-	uint32_t refused; /* at the last try */
+	uint32_t refused; /* at the last try, or each time if they return */
+	uint32_t returned; /* came back once after a refusal */
+	uint32_t returned_served; /* of them, at the first return */
 	uint32_t gone; /* callers that left early */
 	uint32_t unanswered; /* at the end */
 	uint32_t runs;
--- a/test/test_runner.c
+++ b/test/test_runner.c
@@ -131,6 +131,52 @@
 	}
 }
 
+#define CREST_MS 4000
+#define CREST_TIMES 3
+#define RETURNS_SERVED_PERCENT 75
+
+/*
+ * The load: three times the usual arrivals for 4 s, over one and a half times
+ * what the workers carry.  Guards against refused callers that are all told to return
+ * into the same crest: of those that come back, three in four are to be served
+ * the first time.
+ */
+static void
+test_returns_after_a_crest(void **state)
+{
+	struct world_options options = small;
+	struct world_stats stats, sum = { 0 };
+	struct world *w;
+
+	(void)state;
+	options.jobs_per_s = 30;
+	options.crest_at = FAULT_AT;
+	options.crest_ms = CREST_MS;
+	options.crest_times = CREST_TIMES;
+	options.returns = true;
+	for (options.seed = 1; options.seed <= SEEDS; options.seed++) {
+		w = world_create(&options);
+		world_run(w, END_AT);
+		world_settle(w);
+		fail_if_violated(w, options.seed);
+		world_read_stats(w, &stats);
+		sum.jobs += stats.jobs;
+		sum.in_goal += stats.in_goal;
+		sum.completed += stats.completed;
+		sum.refused += stats.refused;
+		sum.returned += stats.returned;
+		sum.returned_served += stats.returned_served;
+		world_destroy(w);
+	}
+	print_message("%u jobs, %u in their goal, %u complete; %u refusals, "
+		      "%u callers returned, %u of them served then\n",
+	    sum.jobs, sum.in_goal, sum.completed, sum.refused, sum.returned,
+	    sum.returned_served);
+	assert_true(sum.returned > 0);
+	assert_true(
+	    sum.returned_served * 100 >= sum.returned * RETURNS_SERVED_PERCENT);
+}
+
 int
 main(void)
 {
@@ -159,6 +205,7 @@
 		cmocka_unit_test(test_worker_mute),
 		cmocka_unit_test(test_callers_leave),
 		cmocka_unit_test(test_refusals_do_not_loop),
+		cmocka_unit_test(test_returns_after_a_crest),
 	};
 
 	return (cmocka_run_group_tests(tests, NULL, NULL));
