dispatch: tell agents of new entries only, and once

Now the news go out once a tick, and the whole list to one agent a second, in turn, since agents forget entries that they have not reached for 60 s.

--- a/src/dispatch/dispatcher_links.c
+++ b/src/dispatch/dispatcher_links.c
@@ -72,16 +72,13 @@
 }
 
 static void
-tell_agents_of_peers(struct mlk_dispatcher *d)
+peers_begin(struct mlk_dispatcher *d, uint32_t link, struct mlk_msg **msg)
 {
-	struct agent *a;
-	guint i;
-
-	for (i = 0; i < d->agents->len; i++) {
-		a = g_ptr_array_index(d->agents, i);
-		if (a->link != 0)
-			dispatch_send_peers(d, a->link);
-	}
+	*msg = dispatch_send(d, link, MLK_MSG_PEERS);
+	(*msg)->u.peers.peers =
+	    calloc(d->peers->len + 1, sizeof(*(*msg)->u.peers.peers));
+	if ((*msg)->u.peers.peers == NULL)
+		g_error("out of memory");
 }
 
 /*
@@ -90,15 +87,11 @@
 void
 dispatch_send_peers(struct mlk_dispatcher *d, uint32_t link)
 {
-	struct mlk_msg *msg;
 	const struct peer *p;
+	struct mlk_msg *msg;
 	guint i;
 
-	msg = dispatch_send(d, link, MLK_MSG_PEERS);
-	msg->u.peers.peers =
-	    calloc(d->peers->len + 1, sizeof(*msg->u.peers.peers));
-	if (msg->u.peers.peers == NULL)
-		g_error("out of memory");
+	peers_begin(d, link, &msg);
 	msg->u.peers.peers[msg->u.peers.n++] = d->options.self;
 	for (i = 0; i < d->peers->len; i++) {
 		p = g_ptr_array_index(d->peers, i);
@@ -107,6 +100,69 @@
 	}
 }
 
+/*
+ * Sends the entries that have introduced themselves since the last time.
+ */
+static void
+send_news(struct mlk_dispatcher *d, uint32_t link)
+{
+	const struct peer *p;
+	struct mlk_msg *msg;
+	guint i;
+
+	peers_begin(d, link, &msg);
+	for (i = 0; i < d->peers->len; i++) {
+		p = g_ptr_array_index(d->peers, i);
+		if (p->news)
+			msg->u.peers.peers[msg->u.peers.n++] = p->info;
+	}
+}
+
+/*
+ * Tells all agents what is new of the peers, in one message a tick.  The load
+ * that it answers: hundreds of machines that start at once.
+ */
+static void
+tell_news(struct mlk_dispatcher *d)
+{
+	struct agent *a;
+	guint i;
+
+	if (!d->peer_news)
+		return;
+	for (i = 0; i < d->agents->len; i++) {
+		a = g_ptr_array_index(d->agents, i);
+		if (a->link != 0)
+			send_news(d, a->link);
+	}
+	for (i = 0; i < d->peers->len; i++)
+		((struct peer *)g_ptr_array_index(d->peers, i))->news = false;
+	d->peer_news = false;
+}
+
+/*
+ * Tells one agent the whole list, each in its turn: agents forget entries that
+ * they have not reached for long.
+ */
+static void
+tell_whole_list(struct mlk_dispatcher *d)
+{
+	struct agent *a;
+	guint i;
+
+	if (d->now < d->whole_list_at)
+		return;
+	d->whole_list_at = d->now + WHOLE_LIST_NS;
+	for (i = 0; i < d->agents->len; i++) {
+		d->whole_list_turn = (d->whole_list_turn + 1) % d->agents->len;
+		a = g_ptr_array_index(d->agents, d->whole_list_turn);
+		if (a->link == 0)
+			continue;
+		dispatch_send_peers(d, a->link);
+		return;
+	}
+}
+
 static void
 send_hello(struct mlk_dispatcher *d, uint32_t link)
 {
@@ -212,7 +268,8 @@
 		return;
 	p->info = *info;
 	p->retry_at = d->now;
-	tell_agents_of_peers(d);
+	p->news = true;
+	d->peer_news = true;
 }
 
 /*
@@ -350,7 +407,8 @@
 }
 
 /*
- * Links with peers: connecting, beats, silence.
+ * Links with peers: connecting, beats, silence; and what agents are told of
+ * them.
  */
 void
 dispatch_peers_due(struct mlk_dispatcher *d)
@@ -358,6 +416,8 @@
 	struct peer *p;
 	guint i;
 
+	tell_news(d);
+	tell_whole_list(d);
 	for (i = d->peers->len; i > 0; i--) {
 		p = g_ptr_array_index(d->peers, i - 1);
 		if (peer_due(d, p))
--- a/src/dispatch/dispatcher_priv.h
+++ b/src/dispatch/dispatcher_priv.h
@@ -33,6 +33,7 @@
 #define DETACHED_NS (1250 * MS)
 #define PEER_BEAT_NS (500 * MS)
 #define PEER_SILENT_NS (2500 * MS)
+#define WHOLE_LIST_NS (1000 * MS) /* between two agents that are told all */
 #define CONNECT_RETRY_NS (100 * MS)
 #define CONNECT_RETRY_MAX_NS (2000 * MS)
 #define PEER_FORGET_NS (60000 * MS)
@@ -75,6 +76,7 @@
 	char addr[MLK_ADDR_MAX];
 	bool configured;
 	struct mlk_peer_info info; /* id empty until known */
+	bool news; /* the agents have not been told */
 	uint32_t connect;
 	uint32_t link; /* outgoing; 0: none */
 	int64_t retry_at;
@@ -195,6 +197,9 @@
 	struct mlk_routing routing;
 	GHashTable *links; /* link -> struct link */
 	GPtrArray *peers; /* struct peer */
+	bool peer_news; /* of one of them */
+	int64_t whole_list_at; /* the next agent is told all of them */
+	guint whole_list_turn; /* the last that was */
 	GPtrArray *agents; /* struct agent */
 	uint32_t last_connect;
 	GHashTable *jobs; /* handle -> struct job */
--- a/test/dispatch_bench.c
+++ b/test/dispatch_bench.c
@@ -55,6 +55,11 @@
 		fx = &b->fx.items[i];
 		if (fx->type == MLK_DISPATCH_FX_EXIT)
 			b->exited = true;
+		if (fx->type == MLK_DISPATCH_FX_CONNECT)
+			b->last_connect = fx->u.connect.connect;
+		if (fx->type == MLK_DISPATCH_FX_SEND &&
+		    fx->u.send.msg.type == MLK_MSG_PEERS)
+			b->entries_told += fx->u.send.msg.u.peers.n;
 		if (fx->type != MLK_DISPATCH_FX_ANSWER)
 			continue;
 		assert_true(b->nanswers < BENCH_ANSWERS_MAX);
@@ -156,6 +161,27 @@
 	bench_worker(b, a, MLK_WORKER_READY);
 }
 
+void
+bench_peer(struct dispatch_bench *b, uint32_t number)
+{
+	struct mlk_dispatch_event ev = { .type = MLK_DISPATCH_LINK_UP };
+	struct mlk_msg msg = { .type = MLK_MSG_PEER_HELLO };
+	struct mlk_peer_info *self = &msg.u.peer_hello.self;
+
+	ev.u.link.link = ++b->last_link;
+	bench_apply(b, &ev);
+	snprintf(self->id, sizeof(self->id), "peer-%u", number);
+	snprintf(self->addr, sizeof(self->addr), "10.0.1.%u:7000", number);
+	self->incarnation = b->last_link;
+	deliver(b, b->last_link, &msg);
+	/* The entry connects to it in turn. */
+	bench_pass(b, 2 * TICK_MS);
+	ev.u.link.link = ++b->last_link;
+	ev.u.link.connect = b->last_connect;
+	bench_apply(b, &ev);
+	deliver(b, b->last_link, &msg);
+}
+
 void
 bench_link_down(struct dispatch_bench *b, struct bench_agent *a)
 {
--- a/test/dispatch_bench.h
+++ b/test/dispatch_bench.h
@@ -39,6 +39,8 @@
 	uint64_t last_request;
 	uint32_t estimate_ms; /* of the jobs that are submitted */
 	bool exited;
+	uint32_t last_connect; /* that the entry has begun */
+	uint64_t entries_told; /* to agents, over all messages */
 };
 
 void bench_init(struct dispatch_bench *b);
@@ -51,6 +53,8 @@
     struct dispatch_bench *b, uint64_t version, uint32_t attempts);
 void bench_attach(struct dispatch_bench *b, struct bench_agent *a,
     const char *id, const char *dc, uint32_t cpu);
+/* Another entry introduces itself. */
+void bench_peer(struct dispatch_bench *b, uint32_t number);
 void bench_worker(struct dispatch_bench *b, struct bench_agent *a,
     enum mlk_worker_state state);
 void bench_link_down(struct dispatch_bench *b, struct bench_agent *a);
--- a/test/test_dispatcher.c
+++ b/test/test_dispatcher.c
@@ -463,6 +463,54 @@
 	expect_answer(b, request, MLK_WORK_REFUSED);
 }
 
+#define PEERS 60
+#define AGENTS 20
+#define WHOLE_LISTS 10 /* one a second while the peers appear */
+
+/*
+ * The load: a deployment of hundreds of machines that starts at once.  Guards
+ * against entries that send the whole list of them to every agent for each
+ * that appears, some 30 times of what there is to tell.
+ */
+static void
+test_entries_are_told_once(void **state)
+{
+	struct dispatch_bench *b = *state;
+	struct bench_agent agents[AGENTS];
+	uint32_t i;
+	char id[16];
+
+	for (i = 0; i < AGENTS; i++) {
+		(void)snprintf(id, sizeof(id), "agent-%u", i);
+		bench_attach(b, &agents[i], id, "dc-a", CPU);
+	}
+	for (i = 1; i <= PEERS; i++)
+		bench_peer(b, i);
+	bench_pass(b, 40);
+	assert_true(b->entries_told >= (uint64_t)AGENTS * (PEERS + 1));
+	/* Beside the news: the entry itself at first, and some whole lists. */
+	assert_true(b->entries_told <= (uint64_t)AGENTS * (PEERS + 1) +
+		(uint64_t)WHOLE_LISTS * (PEERS + 1));
+}
+
+/* Guards against an agent that never learns again of an entry that it has
+ * forgotten: the whole list comes round. */
+static void
+test_entries_are_told_again(void **state)
+{
+	struct dispatch_bench *b = *state;
+	struct bench_agent agents[2];
+	uint64_t told;
+
+	bench_attach(b, &agents[0], "agent-0", "dc-a", CPU);
+	bench_attach(b, &agents[1], "agent-1", "dc-a", CPU);
+	bench_peer(b, 1);
+	bench_pass(b, 40);
+	told = b->entries_told;
+	bench_pass(b, 2100);
+	assert_true(b->entries_told >= told + 2 * 2);
+}
+
 /* Guards against a version that falls. */
 static void
 test_routing_never_falls(void **state)
@@ -522,6 +570,8 @@
 		TEST(test_backlog_costs_little),
 		TEST(test_missed_jobs_give_way),
 		TEST(test_useless_jobs_are_refused),
+		TEST(test_entries_are_told_once),
+		TEST(test_entries_are_told_again),
 		TEST(test_routing_never_falls),
 		TEST(test_planned_stop),
 	};
