dispatch: bound the drain time; a worker that was well for long starts anew

Read again: the time to drain could overflow at a rate near 0, and the time for which a worker counts as degraded never fell back to its first value.

--- a/src/dispatch/dispatcher_drain.c
+++ b/src/dispatch/dispatcher_drain.c
@@ -13,7 +13,6 @@
 #define RATE_WEIGHT 0.5 /* of the last window */
 /* Of what drains; the rest is for callers that come for the first time. */
 #define RETURN_SHARE 0.5
-#define RETURN_MIN_NS (1000 * MS)
 #define RETURN_MAX_NS (10000 * MS)
 
 /*
@@ -60,6 +59,15 @@
 	drain->since = d->now;
 }
 
+/*
+ * Returns the time in which so much work drains at a rate above 0, bounded.
+ */
+static int64_t
+drain_ns(double work, double rate)
+{
+	return ((int64_t)MIN(work / rate, (double)RETURN_MAX_NS));
+}
+
 /*
  * Returns the time after which a caller whose job is refused does well to
  * return, in ms.
@@ -73,14 +81,13 @@
 	int64_t at;
 
 	if (!d->backlog || drain->rate <= 0)
-		return (RETURN_MIN_NS / MS);
+		return (RETRY_AFTER_MS);
 	for (i = 0; i < job->nsteps; i++)
 		work += job->steps[i].count * dispatch_task_work(d, job, i);
 	at = d->now +
-	    MAX(RETURN_MIN_NS, (int64_t)(d->queued_work / drain->rate));
+	    MAX(RETRY_AFTER_MS * MS, drain_ns(d->queued_work, drain->rate));
 	at = MAX(at, drain->next_return);
 	at = MIN(at, d->now + RETURN_MAX_NS);
-	drain->next_return =
-	    at + (int64_t)(work / (drain->rate * RETURN_SHARE));
+	drain->next_return = at + drain_ns(work, drain->rate * RETURN_SHARE);
 	return ((uint32_t)((at - d->now) / MS));
 }
--- a/src/dispatch/dispatcher_links.c
+++ b/src/dispatch/dispatcher_links.c
@@ -71,14 +71,20 @@
 	return (p);
 }
 
-static void
-peers_begin(struct mlk_dispatcher *d, uint32_t link, struct mlk_msg **msg)
+/*
+ * Appends a list of entries with room for all of them.
+ */
+static struct mlk_msg *
+send_list(struct mlk_dispatcher *d, uint32_t link)
 {
-	*msg = dispatch_send(d, link, MLK_MSG_PEERS);
-	(*msg)->u.peers.peers =
-	    calloc(d->peers->len + 1, sizeof(*(*msg)->u.peers.peers));
-	if ((*msg)->u.peers.peers == NULL)
+	struct mlk_msg *msg;
+
+	msg = dispatch_send(d, link, MLK_MSG_PEERS);
+	msg->u.peers.peers =
+	    calloc(d->peers->len + 1, sizeof(*msg->u.peers.peers));
+	if (msg->u.peers.peers == NULL)
 		g_error("out of memory");
+	return (msg);
 }
 
 /*
@@ -91,7 +97,7 @@
 	struct mlk_msg *msg;
 	guint i;
 
-	peers_begin(d, link, &msg);
+	msg = send_list(d, link);
 	msg->u.peers.peers[msg->u.peers.n++] = d->options.self;
 	for (i = 0; i < d->peers->len; i++) {
 		p = g_ptr_array_index(d->peers, i);
@@ -110,7 +116,7 @@
 	struct mlk_msg *msg;
 	guint i;
 
-	peers_begin(d, link, &msg);
+	msg = send_list(d, link);
 	for (i = 0; i < d->peers->len; i++) {
 		p = g_ptr_array_index(d->peers, i);
 		if (p->news)
--- a/src/dispatch/dispatcher_priv.h
+++ b/src/dispatch/dispatcher_priv.h
@@ -44,7 +44,7 @@
  * left every 100 ms.
  */
 #define PAUSE_GRACE_NS (150 * MS)
-/* Where nothing tells when a refused caller would be served. */
+/* The least, and where nothing tells when a refused caller would be served. */
 #define RETRY_AFTER_MS 1000
 /*
  * After its start an entry has a routing table within 0.1 s and agents within
--- a/src/dispatch/health.c
+++ b/src/dispatch/health.c
@@ -271,6 +271,8 @@
 	if (health->degraded_until != 0 ||
 	    __builtin_popcount(health->starts) < STARTS_UNANSWERED)
 		return (false);
+	if (now - health->degraded_ended > DEGRADED_MAX_NS)
+		health->degraded_for = 0;
 	health->degraded_for =
 	    CLAMP(health->degraded_for * 2, DEGRADED_MIN_NS, DEGRADED_MAX_NS);
 	health->degraded_until = now + health->degraded_for;
@@ -285,6 +287,7 @@
 {
 	if (health->degraded_until != 0 && now >= health->degraded_until) {
 		health->degraded_until = 0;
+		health->degraded_ended = now;
 		health->starts = 0;
 	}
 }
--- a/src/dispatch/health.h
+++ b/src/dispatch/health.h
@@ -47,6 +47,7 @@
 			    there was no answer */
 	int64_t degraded_until; /* 0: it is not */
 	int64_t degraded_for; /* the last time */
+	int64_t degraded_ended;
 };
 
 /* The progress of one run, kept with the run. */
--- a/test/test_health.c
+++ b/test/test_health.c
@@ -204,6 +204,13 @@
 	for (i = 0; i < 10 && health.degraded_until == 0; i++)
 		(void)health_started(&health, false, now);
 	assert_true(health.degraded_until - now > first);
+	/* It has been well for long: the next time counts as the first. */
+	now = health.degraded_until;
+	(void)health_due(&health, now);
+	now += 60000 * MS;
+	for (i = 0; i < 10 && health.degraded_until == 0; i++)
+		(void)health_started(&health, false, now);
+	assert_int_equal(health.degraded_until - now, first);
 }
 
 /* Guards against a trial that ends by good progress, where the worker was sick
