--- a/src/dispatch/dispatcher_drain.c
+++ b/src/dispatch/dispatcher_drain.c
@@ -12,7 +12,7 @@
 #define WINDOW_NS (200 * MS) /* of the rate */
 #define RATE_WEIGHT 0.5 /* of the last window */
 /* Of what drains; the rest is for callers that come for the first time. */
-#define RETURN_SHARE 0.5
+#define RETURN_SHARE (1.0 / 3)
 #define RETURN_MAX_NS (10000 * MS)
 
 /*
