--- a/test/test_runner.c
+++ b/test/test_runner.c
@@ -139,9 +139,9 @@
 
 /*
  * The load: three times the usual arrivals for 4 s, over one and a half times
- * what the workers carry.  Guards against refused callers that are all told to return
- * into the same crest: of those that come back, three in four are to be served
- * the first time.
+ * what the workers carry.  Guards against refused callers that are all told to
+ * return into the same crest: of those that come back, three in four are to be
+ * served the first time.
  */
 static void
 test_returns_after_a_crest(void **state)
