soak: count only what was asked after a version was shown

The entry's log shows no fall: it stood still for 1,262 ms, read at once the questions for version 27 that had come meanwhile, and answered those before the table came with 404 and those after it with 200; their connections overtook each other. The rule is about requests sent after the version was shown, and that is now recorded with the question.

--- a/test/soak.c
+++ b/test/soak.c
@@ -140,6 +140,9 @@
 	case SOAK_CALL_VERSION:
 		soak_version_answered(s, number, nev);
 		break;
+	case SOAK_CALL_SHOWN:
+		soak_shown_answered(s, number, nev);
+		break;
 	case SOAK_CALL_OLDER:
 		soak_older_answered(s, number, nev);
 		break;
--- a/test/soak.h
+++ b/test/soak.h
@@ -38,6 +38,7 @@
 	SOAK_CALL_JOB, /* number: the job's */
 	SOAK_CALL_ANNOUNCE,
 	SOAK_CALL_VERSION, /* number: version and entry */
+	SOAK_CALL_SHOWN, /* the same; the entry has shown it before */
 	SOAK_CALL_OLDER, /* the same; the entry has shown a higher one */
 };
 
@@ -245,6 +246,8 @@
     struct soak *s, uint64_t number, const struct mlk_net_event *nev);
 void soak_version_answered(
     struct soak *s, uint64_t number, const struct mlk_net_event *nev);
+void soak_shown_answered(
+    struct soak *s, uint64_t number, const struct mlk_net_event *nev);
 void soak_older_answered(
     struct soak *s, uint64_t number, const struct mlk_net_event *nev);
 
--- a/test/soak_callers.c
+++ b/test/soak_callers.c
@@ -183,7 +183,9 @@
 	guint k;
 
 	for (i = 0; i < s->options.entries; i++) {
-		look_at(s, i, s->routing, SOAK_CALL_VERSION);
+		look_at(s, i, s->routing,
+		    s->procs[i].shown == s->routing ? SOAK_CALL_SHOWN :
+						      SOAK_CALL_VERSION);
 		older = 0;
 		for (k = s->versions->len; k > 0 && older < OLDER_MAX; k--) {
 			version = g_array_index(s->versions, uint64_t, k - 1);
@@ -211,8 +213,7 @@
 }
 
 /*
- * The route of a version is there exactly while that version is in force, so
- * that an entry that shows an older one than before has fallen back.
+ * The route of a version is there exactly while that version is in force.
  */
 void
 soak_version_answered(
@@ -221,11 +222,22 @@
 	uint64_t version = (number & 0xffffffff) / VERSION_ENTRY;
 	struct soak_proc *proc = looked_at(s, number, nev);
 
-	if (proc == NULL)
-		return;
-	if (nev->u.response.status == 200 && version > proc->shown)
-		proc->shown = version;
-	else if (nev->u.response.status == 404 && version == proc->shown &&
+	if (proc != NULL && nev->u.response.status == 200)
+		proc->shown = MAX(proc->shown, version);
+}
+
+/*
+ * The entry had shown this version in this boot when it was asked; answers may
+ * overtake each other, so that those of earlier questions say nothing.
+ */
+void
+soak_shown_answered(
+    struct soak *s, uint64_t number, const struct mlk_net_event *nev)
+{
+	uint64_t version = (number & 0xffffffff) / VERSION_ENTRY;
+	const struct soak_proc *proc = looked_at(s, number, nev);
+
+	if (proc != NULL && nev->u.response.status == 404 &&
 	    version == s->routing)
 		soak_violation(s, "version: %s fell from %llu", proc->id,
 		    (unsigned long long)version);
