dispatch: one function for the expected time of a task; one run of a test world

The expected run time with the caller's estimate in its place stood in dispatch_goal_ns() and, anew, in dispatch_task_work(): dispatch_pace_ms(). The bounds of the doubling times of a degraded and of a sick worker were written twice. Three loops of test_runner ran a world step by step: run_world(); its assertions are as they were. soak_links had a wrapper around relay_cut(). No behaviour changes; the unit tests pass.

--- a/src/dispatch/dispatcher_drain.c
+++ b/src/dispatch/dispatcher_drain.c
@@ -23,11 +23,8 @@
 dispatch_task_work(
     struct mlk_dispatcher *d, const struct job *job, uint32_t step)
 {
-	uint32_t ms = dispatch_pace_expected(d, job, step);
-
-	if (ms == 0)
-		ms = job->steps[step].estimate_ms;
-	return ((double)job->steps[step].room.cpu * MAX(ms, 1));
+	return ((double)job->steps[step].room.cpu *
+	    MAX(dispatch_pace_ms(d, job, step), 1));
 }
 
 /*
--- a/src/dispatch/dispatcher_pace.c
+++ b/src/dispatch/dispatcher_pace.c
@@ -68,6 +68,17 @@
 	return ((uint32_t)CLAMP(ms, 1.0, (double)UINT32_MAX / 2));
 }
 
+/*
+ * Returns that time, or the caller's estimate while too little is known.
+ */
+uint32_t
+dispatch_pace_ms(struct mlk_dispatcher *d, const struct job *job, uint32_t step)
+{
+	uint32_t ms = dispatch_pace_expected(d, job, step);
+
+	return (ms != 0 ? ms : job->steps[step].estimate_ms);
+}
+
 /*
  * Returns the response time that a job aims at: the target of its route, and
  * the stretch (in thousandths) over its longest chain of work; *work_ns is that
@@ -78,18 +89,15 @@
     uint32_t target_ms, uint32_t stretch, int64_t *work_ns)
 {
 	int64_t chain[MLK_STEPS_MAX], longest = 0;
-	uint32_t i, k, ms;
+	uint32_t i, k;
 
 	for (i = 0; i < job->nsteps; i++) {
-		ms = dispatch_pace_expected(d, job, i);
-		if (ms == 0)
-			ms = job->steps[i].estimate_ms;
 		chain[i] = 0;
 		for (k = 0; k < i; k++) {
 			if (job->steps[i].after >> k & 1)
 				chain[i] = MAX(chain[i], chain[k]);
 		}
-		chain[i] += (int64_t)ms * MS;
+		chain[i] += dispatch_pace_ms(d, job, i) * MS;
 		longest = MAX(longest, chain[i]);
 	}
 	*work_ns = longest;
--- a/src/dispatch/dispatcher_priv.h
+++ b/src/dispatch/dispatcher_priv.h
@@ -295,6 +295,8 @@
     uint32_t step, uint32_t run_ms);
 uint32_t dispatch_pace_expected(
     struct mlk_dispatcher *d, const struct job *job, uint32_t step);
+uint32_t dispatch_pace_ms(
+    struct mlk_dispatcher *d, const struct job *job, uint32_t step);
 
 /* dispatcher_agents.c */
 void dispatch_attach(
--- a/src/dispatch/health.c
+++ b/src/dispatch/health.c
@@ -31,6 +31,7 @@
 #define SLOW_JOBS 2U
 #define FIT_RATE 600U /* in a trial */
 #define FAILS 3U /* jobs in a row; one job may fail by its own fault */
+/* For which a worker is sick, or degraded; doubled each time. */
 #define BACKOFF_MIN_NS (1000 * MS)
 #define BACKOFF_MAX_NS (8000 * MS)
 /*
@@ -40,8 +41,6 @@
  */
 #define STARTS_SEEN 10U
 #define STARTS_UNANSWERED 5
-#define DEGRADED_MIN_NS (1000 * MS)
-#define DEGRADED_MAX_NS (8000 * MS)
 #define RUNS_MAX 64U /* that are judged; a worker has tens at most */
 
 void
@@ -271,10 +270,10 @@
 	if (health->degraded_until != 0 ||
 	    __builtin_popcount(health->starts) < STARTS_UNANSWERED)
 		return (false);
-	if (now - health->degraded_ended > DEGRADED_MAX_NS)
+	if (now - health->degraded_ended > BACKOFF_MAX_NS)
 		health->degraded_for = 0;
 	health->degraded_for =
-	    CLAMP(health->degraded_for * 2, DEGRADED_MIN_NS, DEGRADED_MAX_NS);
+	    CLAMP(health->degraded_for * 2, BACKOFF_MIN_NS, BACKOFF_MAX_NS);
 	health->degraded_until = now + health->degraded_for;
 	return (true);
 }
--- a/test/soak_links.c
+++ b/test/soak_links.c
@@ -54,12 +54,6 @@
 	return (relay_listen(s->relay, p->id, STORE, NULL, target));
 }
 
-static void
-cut(struct soak *s, const char *a, const char *b, bool cut)
-{
-	relay_cut(s->relay, a, b, cut);
-}
-
 /*
  * Cuts an entry or an agent off all other programs, or joins it again.
  */
@@ -79,10 +73,10 @@
 {
 	switch (f->kind) {
 	case SOAK_LINK_CUT:
-		cut(s, f->a, f->b, on);
+		relay_cut(s->relay, f->a, f->b, on);
 		break;
 	case SOAK_LINK_CUT_BACK:
-		cut(s, f->b, f->a, on);
+		relay_cut(s->relay, f->b, f->a, on);
 		break;
 	case SOAK_LINK_PART:
 		relay_part(s->relay, f->a, f->b, on);
--- a/test/test_runner.c
+++ b/test/test_runner.c
@@ -32,6 +32,24 @@
 		fail_msg("seed %llu: %s", (unsigned long long)seed, violation);
 }
 
+/*
+ * Runs a world with one fault, or none when that is WORLD_FAULTS, until every
+ * caller has its answer.
+ */
+static void
+run_world(const struct world_options *options, enum world_fault fault,
+    uint32_t ms, struct world_stats *stats)
+{
+	struct world *w = world_create(options);
+
+	world_fault(w, FAULT_AT, fault, 0, 1, ms);
+	world_run(w, END_AT);
+	world_settle(w);
+	fail_if_violated(w, options->seed);
+	world_read_stats(w, stats);
+	world_destroy(w);
+}
+
 /*
  * Runs one fault with some seeds.  Of the jobs at least `percent` are answered
  * within their goal.
@@ -41,19 +59,12 @@
 {
 	struct world_options options = small;
 	struct world_stats stats, sum = { 0 };
-	struct world *w;
 
 	for (options.seed = 1; options.seed <= SEEDS; options.seed++) {
-		w = world_create(&options);
-		world_fault(w, FAULT_AT, fault, 0, 1, ms);
-		world_run(w, END_AT);
-		world_settle(w);
-		fail_if_violated(w, options.seed);
-		world_read_stats(w, &stats);
+		run_world(&options, fault, ms, &stats);
 		assert_int_equal(stats.unanswered, 0);
 		sum.jobs += stats.jobs;
 		sum.in_goal += stats.in_goal;
-		world_destroy(w);
 	}
 	if (sum.in_goal * 100 < sum.jobs * percent)
 		fail_msg("%u of %u jobs in their goal", sum.in_goal, sum.jobs);
@@ -113,23 +124,16 @@
 {
 	struct world_options options = small;
 	struct world_stats stats;
-	struct world *w;
 
 	(void)state;
 	options.jobs_per_s = 60;
 	for (options.seed = 1; options.seed <= SEEDS; options.seed++) {
-		w = world_create(&options);
-		world_fault(w, FAULT_AT, WORLD_ENTRY_DARK, 0, 1, FAULT_MS);
-		world_run(w, END_AT);
-		world_settle(w);
-		fail_if_violated(w, options.seed);
-		world_read_stats(w, &stats);
+		run_world(&options, WORLD_ENTRY_DARK, FAULT_MS, &stats);
 		if (stats.tasks_refused > REFUSALS_MAX) {
 			fail_msg("seed %llu: %u tasks refused",
 			    (unsigned long long)options.seed,
 			    stats.tasks_refused);
 		}
-		world_destroy(w);
 	}
 }
 
@@ -148,7 +152,6 @@
 {
 	struct world_options options = small;
 	struct world_stats stats, sum = { 0 };
-	struct world *w;
 
 	(void)state;
 	options.jobs_per_s = 30;
@@ -157,18 +160,13 @@
 	options.crest_times = CREST_TIMES;
 	options.returns = true;
 	for (options.seed = 1; options.seed <= SEEDS; options.seed++) {
-		w = world_create(&options);
-		world_run(w, END_AT);
-		world_settle(w);
-		fail_if_violated(w, options.seed);
-		world_read_stats(w, &stats);
+		run_world(&options, WORLD_FAULTS, 0, &stats);
 		sum.jobs += stats.jobs;
 		sum.in_goal += stats.in_goal;
 		sum.completed += stats.completed;
 		sum.refused += stats.refused;
 		sum.returned += stats.returned;
 		sum.returned_served += stats.returned_served;
-		world_destroy(w);
 	}
 	print_message("%u jobs, %u in their goal, %u complete; %u refusals, "
 		      "%u callers returned, %u of them served then\n",
