dispatch: a queue that has emptied is no backlog

Read again: the mark of a backlog was set by a look at the whole queue and stayed when the queue emptied by other ways, so that the drain was measured while nothing waited. After 3 s without callers it was next to none, and a refused caller was told to return in 10 s where 1 s was meant (test_idle_is_no_drain, failed before).

--- a/src/dispatch/dispatcher_place.c
+++ b/src/dispatch/dispatcher_place.c
@@ -425,6 +425,8 @@
 		if (missed)
 			send_wants(d);
 	}
+	if (d->nqueued == 0)
+		d->backlog = false;
 	d->place = false;
 	(void)g_ptr_array_set_size(d->roomier, 0);
 	(void)g_array_set_size(d->fresh, 0);
--- a/src/dispatch/dispatcher_priv.h
+++ b/src/dispatch/dispatcher_priv.h
@@ -214,7 +214,8 @@
 	struct drain drain;
 	uint32_t nsent;
 	bool place; /* room or queue has changed */
-	bool backlog; /* the last look at all of the queue left some of it */
+	bool backlog; /* the last look at all of the queue left some of it, and
+			 it is not empty */
 	GPtrArray *roomier; /* agents whose load was told since */
 	GArray *fresh; /* handles of jobs that were queued since */
 	uint32_t want_turn; /* first agent to be told what is wanted */
--- a/test/test_dispatcher.c
+++ b/test/test_dispatcher.c
@@ -463,6 +463,41 @@
 	expect_answer(b, request, MLK_WORK_REFUSED);
 }
 
+/*
+ * Guards against a drain that is measured while nothing waits: after 3 s
+ * without callers it would be next to none, and a caller who is refused then
+ * told to stay away for 10 s.
+ */
+static void
+test_idle_is_no_drain(void **state)
+{
+	struct dispatch_bench *b = *state;
+	struct bench_agent a;
+	uint64_t request;
+	int i;
+
+	bench_attach(b, &a, "agent-1", "dc-a", CPU);
+	a.free.cpu = 0;
+	bench_worker(b, &a, MLK_WORKER_READY);
+	(void)bench_submit(b, "waits", 2, 6000, 5000);
+	bench_pass(b, 40);
+	a.free = a.capacity;
+	bench_worker(b, &a, MLK_WORKER_READY);
+	assert_int_equal(bench_sent_tasks(b, &a), 2);
+	bench_end(b, &a, 1, 0, MLK_RUN_DONE);
+	bench_end(b, &a, 1, 1, MLK_RUN_DONE);
+	for (i = 0; i < 6; i++) {
+		bench_pass(b, 500);
+		bench_worker(b, &a, MLK_WORKER_READY);
+	}
+	a.free.cpu = 0;
+	bench_worker(b, &a, MLK_WORKER_READY);
+	request = bench_submit(b, "refused", 1, 6000, 5000);
+	bench_pass(b, 400);
+	expect_answer(b, request, MLK_WORK_REFUSED);
+	assert_int_equal(bench_answer_to(b, request)->retry_after_ms, 1000);
+}
+
 #define PEERS 60
 #define AGENTS 20
 #define WHOLE_LISTS 10 /* one a second while the peers appear */
@@ -570,6 +605,7 @@
 		TEST(test_backlog_costs_little),
 		TEST(test_missed_jobs_give_way),
 		TEST(test_useless_jobs_are_refused),
+		TEST(test_idle_is_no_drain),
 		TEST(test_entries_are_told_once),
 		TEST(test_entries_are_told_again),
 		TEST(test_routing_never_falls),
