platform, dispatch: one odd entry no longer hides or stops the others

Cause: operators of similar systems saw processes end, or stop following a list, after another writer had left one odd entry in it. Here, found by reading and by the tests: a row key with a NUL made the whole response of the store unreadable, so that the table was never followed again; an address with a host name was connected to, which is a blocking lookup in the event loop, and was passed on to every agent; an end with a negative or absurd number in a worker's listing made the agent ignore all later ends; an announcement with a boot or a sequence number far in the future made it ignore the real worker; a percentage out of range was an undefined conversion. A table of more than 500 rows was read in part only.

--- a/include/monsoonlock/base.h
+++ b/include/monsoonlock/base.h
@@ -1,5 +1,6 @@
 /*
- * Base library: errors, the clock interface, submission keys and byte blobs.
+ * Base library: errors, the clock interface, submission keys, addresses and
+ * byte blobs.
  *
  * Nothing here blocks, and nothing is shared between threads: every program
  * of monsoonlock runs one event loop on one thread.
@@ -80,6 +81,9 @@
 bool mlk_key_parse(const char *text, struct mlk_key *out);
 struct mlk_key mlk_digest(const void *data, size_t len);
 
+/* Whether text is "ip:port": a numeric IP address and a port above 0. */
+bool mlk_addr_valid(const char *text);
+
 /* Heap-allocated bytes with one owner; data is NULL when len is 0. */
 struct mlk_blob {
 	uint8_t *data;
--- a/include/monsoonlock/dispatch.h
+++ b/include/monsoonlock/dispatch.h
@@ -42,11 +42,19 @@
  * that version, and reads it again when the store no longer has them.  Failed
  * calls are repeated after an increasing delay.
  */
+#define MLK_WATCH_KEY_MAX 201 /* key of a row, including NUL */
+
 struct mlk_watch {
 	bool calling;
 	bool following; /* the table was read; only changes since `version` are
 			   requested */
 	uint64_t version;
+	/*
+	 * READ of a table with several pages: the last key of the pages read so
+	 * far, and the version of the first page.  An empty key: first page.
+	 */
+	char last_key[MLK_WATCH_KEY_MAX];
+	uint64_t first_version;
 	int64_t due; /* time of the next call */
 	int64_t delay; /* before the next call after a failure */
 	uint32_t failures; /* consecutive */
@@ -58,7 +66,7 @@
 
 enum mlk_watch_call {
 	MLK_WATCH_NONE,
-	MLK_WATCH_READ, /* the whole table */
+	MLK_WATCH_READ, /* the table from `last_key` on */
 	MLK_WATCH_FOLLOW, /* the changes since `version` */
 };
 
@@ -75,6 +83,13 @@
 enum mlk_watch_call mlk_watch_due(struct mlk_watch *watch, int64_t now);
 void mlk_watch_ended(struct mlk_watch *watch, enum mlk_watch_result result,
     uint64_t version, int64_t now);
+/*
+ * A READ returned one page of rows as of the given version, and the table goes
+ * on after last_key.  Returns MLK_ERR_INVALID, and the read begins again, when
+ * last_key is no progress.
+ */
+int mlk_watch_page(struct mlk_watch *watch, const char *last_key,
+    uint64_t version, int64_t now);
 
 /* ---- runner ------------------------------------------------------------- */
 
@@ -266,6 +281,8 @@
 	X(offers_lapsed, "Offers that were not answered")          \
 	X(refused, "Tasks answered not run for another cause")     \
 	X(entry_leases, "Times that an entry's lease ran out")     \
+	X(addrs_ignored, "Addresses of entries that are not used") \
+	X(superseded, "Times that another agent took the worker")  \
 	X(boots, "Lives of the worker seen")
 
 struct mlk_runner_counters {
@@ -441,6 +458,7 @@
 	X(tasks_failed, "Runs that failed")                                \
 	X(tasks_moved, "Runs moved away from sick workers")                \
 	X(links_silent, "Links closed after silence")                      \
+	X(addrs_ignored, "Addresses of entries that cannot be used")       \
 	X(routings, "Routing tables put in force")
 
 struct mlk_dispatch_counters {
--- a/src/app/settings.c
+++ b/src/app/settings.c
@@ -532,35 +532,12 @@
 }
 
 /*
- * Returns whether text is "ip:port", with an IPv6 address in brackets.
+ * Returns whether text is an address that fits in MLK_ADDR_MAX.
  */
 static bool
 addr_valid(const char *text)
 {
-	unsigned char buf[sizeof(struct in6_addr)];
-	char host[MLK_ADDR_MAX], *end;
-	const char *colon;
-	unsigned long port;
-	size_t len;
-	int family;
-
-	colon = strrchr(text, ':');
-	if (colon == NULL || strlen(text) >= MLK_ADDR_MAX ||
-	    !g_ascii_isdigit(colon[1]))
-		return (false);
-	port = strtoul(colon + 1, &end, 10);
-	if (*end != '\0' || port < 1 || port > UINT16_MAX)
-		return (false);
-	len = (size_t)(colon - text);
-	family = AF_INET;
-	if (len > 2 && text[0] == '[' && text[len - 1] == ']') {
-		family = AF_INET6;
-		text++;
-		len -= 2;
-	}
-	memcpy(host, text, len);
-	host[len] = '\0';
-	return (inet_pton(family, host, buf) == 1);
+	return (strlen(text) < MLK_ADDR_MAX && mlk_addr_valid(text));
 }
 
 static bool
--- a/src/dispatch/dispatcher_links.c
+++ b/src/dispatch/dispatcher_links.c
@@ -43,9 +43,19 @@
 	(void)g_hash_table_remove(d->links, GUINT_TO_POINTER(link));
 }
 
+static struct peer *
+ignore_address(struct mlk_dispatcher *d, const char *addr, const char *cause)
+{
+	d->counters.addrs_ignored++;
+	if (d->out != NULL)
+		dispatch_log(d, MLK_LOG_WARNING, NULL, NULL,
+		    "address of an entry ignored: %s: %s", cause, addr);
+	return (NULL);
+}
+
 /*
  * Adds the address of an entry.  Returns the peer, or NULL for this entry's
- * own address.
+ * own address, for one that cannot be used, and when the table is full.
  */
 struct peer *
 dispatch_peer_learn(struct mlk_dispatcher *d, const char *addr, bool configured)
@@ -53,7 +63,7 @@
 	struct peer *p;
 	guint i;
 
-	if (addr[0] == '\0' || strcmp(addr, d->options.self.addr) == 0)
+	if (strcmp(addr, d->options.self.addr) == 0)
 		return (NULL);
 	for (i = 0; i < d->peers->len; i++) {
 		p = g_ptr_array_index(d->peers, i);
@@ -62,6 +72,10 @@
 			return (p);
 		}
 	}
+	if (!mlk_addr_valid(addr))
+		return (ignore_address(d, addr, "not ip:port"));
+	if (d->peers->len >= PEERS_MAX)
+		return (ignore_address(d, addr, "too many entries"));
 	p = g_new0(struct peer, 1);
 	(void)g_strlcpy(p->addr, addr, sizeof(p->addr));
 	p->configured = configured;
--- a/src/dispatch/dispatcher_priv.h
+++ b/src/dispatch/dispatcher_priv.h
@@ -23,6 +23,7 @@
 #define MS ((int64_t)MLK_NSEC_PER_MSEC)
 
 #define LINKS_MAX 4096
+#define PEERS_MAX 1024 /* known entries; docs/CAPACITY.md expects 67 to 250 */
 #define REQUESTS_MAX 4 /* requests waiting for the same job */
 #define AVOID_MAX 4 /* agents where tasks of a job failed or stalled */
 #define AGENT_PING_BUSY_NS (250 * MS) /* while tasks are in flight */
--- a/src/dispatch/runner_links.c
+++ b/src/dispatch/runner_links.c
@@ -24,9 +24,19 @@
 	return ((uint64_t)(r->now / MS));
 }
 
+static struct entry *
+ignore_address(struct mlk_runner *r, const char *addr, const char *cause)
+{
+	r->counters.addrs_ignored++;
+	if (r->out != NULL)
+		runner_log(r, MLK_LOG_WARNING, NULL,
+		    "address of an entry ignored: %s: %s", cause, addr);
+	return (NULL);
+}
+
 /*
- * Adds the address of an entry.  Returns the entry, or NULL when the table is
- * full.
+ * Adds the address of an entry.  Returns the entry, or NULL when the address
+ * cannot be used and when the table is full.
  */
 struct entry *
 runner_entry_learn(struct mlk_runner *r, const char *addr, bool configured)
@@ -41,8 +51,10 @@
 			return (e);
 		}
 	}
+	if (!mlk_addr_valid(addr))
+		return (ignore_address(r, addr, "not ip:port"));
 	if (r->entries->len >= RUNNER_ENTRIES_MAX)
-		return (NULL);
+		return (ignore_address(r, addr, "too many entries"));
 	e = g_new0(struct entry, 1);
 	(void)g_strlcpy(e->addr, addr, sizeof(e->addr));
 	e->configured = configured;
--- a/src/dispatch/watch.c
+++ b/src/dispatch/watch.c
@@ -84,6 +84,13 @@
 	watch->calling = false;
 	switch (result) {
 	case MLK_WATCH_ROWS:
+		/*
+		 * The pages of a table may differ in their versions.  What has
+		 * changed since the first one is read again as a change.
+		 */
+		if (watch->last_key[0] != '\0')
+			version = watch->first_version;
+		watch->last_key[0] = '\0';
 		watch->following = true;
 		watch->version = version;
 		watch->delay = 0;
@@ -100,3 +107,23 @@
 		return;
 	}
 }
+
+int
+mlk_watch_page(struct mlk_watch *watch, const char *last_key, uint64_t version,
+    int64_t now)
+{
+	if (strcmp(last_key, watch->last_key) <= 0 ||
+	    strlen(last_key) >= sizeof(watch->last_key)) {
+		watch->last_key[0] = '\0';
+		mlk_watch_ended(watch, MLK_WATCH_UNAVAILABLE, 0, now);
+		return (MLK_ERR_INVALID);
+	}
+	if (watch->last_key[0] == '\0')
+		watch->first_version = version;
+	(void)strcpy(watch->last_key, last_key);
+	watch->calling = false;
+	watch->failures = 0;
+	watch->delay = 0;
+	watch->due = now;
+	return (0);
+}
--- a/test/test_dispatcher.c
+++ b/test/test_dispatcher.c
@@ -11,6 +11,7 @@
 #include <string.h>
 
 #include <cmocka.h>
+#include <glib.h>
 
 #include "dispatch_bench.h"
 
@@ -561,6 +562,55 @@
 	assert_true(b->peers_sent >= sent_before + 2 * 2);
 }
 
+static uint32_t
+connects(const struct dispatch_bench *b)
+{
+	uint32_t n = 0;
+	size_t i;
+
+	for (i = 0; i < b->fx.n; i++)
+		n += b->fx.items[i].type == MLK_DISPATCH_FX_CONNECT;
+	return (n);
+}
+
+/*
+ * Guards against odd addresses among those of the entries: a host name, whose
+ * lookup would block the process, a port out of range, and more addresses than
+ * there can be entries.
+ */
+static void
+test_odd_entry_addresses(void **state)
+{
+	static const char odd[][MLK_ADDR_MAX] = { "", "10.0.1.1", "10.0.1.1:0",
+		"10.0.1.1:65536", "10.0.1.1:99999999999999999999",
+		"10.0.1.1:-1", "10.0.1.1:80x", "example.net:7000", "[::1:7000",
+		"10.0.1.1.1:7000", ":7000", "\xff\xfe:1" };
+	struct dispatch_bench *b = *state;
+	struct mlk_dispatch_event ev = { .type = MLK_DISPATCH_ENTRIES };
+	char(*many)[MLK_ADDR_MAX];
+	uint32_t i, n = 3000;
+
+	ev.u.entries.n = G_N_ELEMENTS(odd);
+	ev.u.entries.addrs = odd;
+	bench_apply(b, &ev);
+	bench_advance(b, 20);
+	assert_int_equal(connects(b), 0);
+	assert_int_equal(
+	    mlk_dispatch_counters(b->d)->addrs_ignored, G_N_ELEMENTS(odd));
+	many = g_malloc0_n(n, sizeof(*many));
+	for (i = 0; i < n; i++)
+		(void)snprintf(many[i], sizeof(many[i]), "10.1.%u.%u:7000",
+		    i / 250, i % 250 + 1);
+	ev.u.entries.n = n;
+	ev.u.entries.addrs = (const char(*)[MLK_ADDR_MAX])many;
+	bench_apply(b, &ev);
+	g_free(many);
+	bench_advance(b, 20);
+	assert_int_equal(connects(b), 1024);
+	assert_int_equal(mlk_dispatch_counters(b->d)->addrs_ignored,
+	    G_N_ELEMENTS(odd) + n - 1024);
+}
+
 /* Guards against a routing table replaced by an older version. */
 static void
 test_older_routing_is_ignored(void **state)
@@ -623,6 +673,7 @@
 		TEST(test_drain_rate_ignores_idle_time),
 		TEST(test_new_peers_are_sent_once),
 		TEST(test_full_peer_list_is_repeated),
+		TEST(test_odd_entry_addresses),
 		TEST(test_older_routing_is_ignored),
 		TEST(test_planned_stop),
 	};
--- a/test/test_site.c
+++ b/test/test_site.c
@@ -190,6 +190,69 @@
 	assert_false(site_announcement_parse(&a, "", (const uint8_t *)"{}", 2));
 }
 
+/*
+ * Guards against an agent that no longer follows its worker: after a boot or a
+ * number in the far future, every later announcement of the worker would count
+ * as out of date, and a fence that is derived from an absurd clock is rejected.
+ */
+static void
+test_announcement_out_of_range(void **state)
+{
+	static const char *const borns[] = { "0", "9223372036854775807",
+		"253402300800000", "1e30", "99999999999999999999" };
+	static const char *const seqs[] = { "9223372036854775807",
+		"9007199254740993", "99999999999999999999" };
+	static const char *const clocks[] = { "9223372036854775807",
+		"9007199254740993" };
+	struct mlk_announcement a;
+	char *body;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(borns); i++)
+		assert_false(parse_announcement(&a, "ready", "4", borns[i]));
+	for (i = 0; i < G_N_ELEMENTS(seqs); i++)
+		assert_false(
+		    parse_announcement(&a, "ready", seqs[i], "1776716362904"));
+	for (i = 0; i < G_N_ELEMENTS(clocks); i++) {
+		body = g_strdup_printf(
+		    "{\"service\":\"p\",\"state\":\"ready\","
+		    "\"capacity\":{\"cpu\":1,\"mem_mb\":1},\"seq\":1,"
+		    "\"born\":1776716362904,\"clock_ms\":%s}",
+		    clocks[i]);
+		assert_false(site_announcement_parse(
+		    &a, "i-1", (const uint8_t *)body, strlen(body)));
+		g_free(body);
+	}
+}
+
+/*
+ * Guards against a parser that exhausts the stack on a deeply nested body.
+ */
+static void
+test_deep_nesting(void **state)
+{
+	enum { DEPTH = 200000 };
+	struct mlk_announcement a;
+	struct mlk_routing routing;
+	struct site_rows rows;
+	struct site_job job;
+	char why[64];
+	char *body;
+
+	(void)state;
+	body = g_strnfill(DEPTH, '[');
+	assert_false(
+	    site_announcement_parse(&a, "i-1", (const uint8_t *)body, DEPTH));
+	assert_false(
+	    site_routing_parse(&routing, (const guchar *)body, DEPTH, why));
+	assert_false(site_rows_parse(&rows, (const uint8_t *)body, DEPTH));
+	site_rows_clear(&rows);
+	assert_false(parse_job(&job, "/q/" ID, body));
+	site_job_clear(&job);
+	g_free(body);
+}
+
 static json_t *
 order_json(const struct mlk_order *order)
 {
@@ -369,6 +432,57 @@
 	site_listing_clear(&listing);
 }
 
+/*
+ * Guards against odd rows in a worker's listing.  An end with a negative or
+ * absurd number would make the agent ignore every later end; a percentage above
+ * 100 or a run number that does not fit would be read as another value.
+ */
+static void
+test_listing_odd_rows(void **state)
+{
+	static const char *const ends[] = { "[-1,\"" ID ".0.0.1\",1,\"done\"]",
+		"[0,\"" ID ".0.0.1\",1,\"done\"]",
+		"[9223372036854775807,\"" ID ".0.0.1\",1,\"done\"]",
+		"[\"7\",\"" ID ".0.0.1\",1,\"done\"]",
+		"[7,\"" ID ".0.0.1\",-1,\"done\"]",
+		"[7,\"" ID ".0.0.1\",4294967297,\"done\"]",
+		"[7,\"" ID ".0.0.99999999999\",1,\"done\"]",
+		"[7,\"" ID ".0.0.-1\",1,\"done\"]",
+		"[7,\"" ID ".0.0.1x\",1,\"done\"]",
+		"[7,\"" ID ".1.0.1\",1,\"done\"]", "[7]", "{}", "[[[[]]]]",
+		"null" };
+	struct site_listing listing;
+	struct mlk_runner_event ev;
+	char *body;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(ends); i++) {
+		body = g_strdup_printf(
+		    "{\"clock_ms\":9,\"born\":77,\"running\":[],\"ended\":[%s,"
+		    "[8,\"" ID ".0.0.2\",1,\"done\",\"\"]]}",
+		    ends[i]);
+		parse_answer(MLK_ORDER_LIST, 200, body, &ev, &listing);
+		assert_int_equal(ev.u.order.result, MLK_ORDER_OK);
+		if (ev.u.order.nended != 1)
+			fail_msg("%s was accepted", ends[i]);
+		assert_int_equal(ev.u.order.ended[0].number, 8);
+		assert_int_equal(listing.skipped, 1);
+		site_listing_clear(&listing);
+		g_free(body);
+	}
+	parse_answer(MLK_ORDER_LIST, 200,
+	    "{\"clock_ms\":9,\"born\":77,\"ended\":[],\"running\":["
+	    "[\"" ID ".0.0.1\",1,\"\",1e30],[\"" ID ".0.0.2\",1,\"\",-5],"
+	    "[\"" ID ".0.0.3\",1,\"\",50]]}",
+	    &ev, &listing);
+	assert_int_equal(ev.u.order.nrunning, 3);
+	assert_int_equal(ev.u.order.running[0].percent, 100);
+	assert_int_equal(ev.u.order.running[1].percent, 0);
+	assert_int_equal(ev.u.order.running[2].percent, 50);
+	site_listing_clear(&listing);
+}
+
 static bool
 parse_rows(struct site_rows *rows, const char *body)
 {
@@ -406,6 +520,74 @@
 	site_rows_clear(&rows);
 }
 
+/*
+ * Guards against one odd row of another writer that hides all other rows of its
+ * table.
+ */
+static void
+test_rows_odd(void **state)
+{
+	static const char *const odd[] = {
+		"{\"key\":\"a\\u0000b\",\"ver\":3,\"value\":\"aGk=\"}",
+		"{\"key\":\"config\\u0000\",\"ver\":3,\"value\":\"aGk=\"}",
+		"{\"key\":7,\"ver\":3}", "{\"key\":\"\",\"ver\":3}",
+		"{\"key\":\"k\",\"ver\":\"3\",\"value\":\"aGk=\"}",
+		"{\"key\":\"k\",\"ver\":-3,\"value\":\"aGk=\"}",
+		"{\"key\":\"k\",\"ver\":3,\"value\":[[[[]]]]}", "[]", "null"
+	};
+	const struct site_row *row;
+	struct site_rows rows;
+	char *body;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(odd); i++) {
+		body = g_strdup_printf(
+		    "{\"ver\":12,\"rows\":[%s,"
+		    "{\"key\":\"good\",\"ver\":4,\"value\":\"aGk=\"}]}",
+		    odd[i]);
+		if (!parse_rows(&rows, body))
+			fail_msg("the list with %s was rejected", odd[i]);
+		assert_int_equal(rows.rows->len, 1);
+		assert_int_equal(rows.skipped, 1);
+		row = &g_array_index(rows.rows, struct site_row, 0);
+		assert_string_equal(row->key, "good");
+		site_rows_clear(&rows);
+		g_free(body);
+	}
+}
+
+/*
+ * Guards against an address of an entry that the process cannot use: one with a
+ * host name would block the event loop during the name lookup.
+ */
+static void
+test_entry_address(void **state)
+{
+	static const char *const odd[] = { "{\"address\":\"10.0.0.1:70000\"}",
+		"{\"address\":\"10.0.0.1:0\"}", "{\"address\":\"10.0.0.1:-1\"}",
+		"{\"address\":\"10.0.0.1\"}", "{\"address\":\"\"}",
+		"{\"address\":\"example.net:80\"}", "{\"address\":17}",
+		"{\"address\":\"10.0.0.1:7000\\u0000x\"}", "[]", "17", "",
+		"{\"address\":\"10.0.0.1:7000\",\"incarnation\":1e400}" };
+	char addr[MLK_ADDR_MAX], *huge;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(odd); i++) {
+		if (site_entry_address_parse(
+			addr, (const guchar *)odd[i], strlen(odd[i])))
+			fail_msg("%s was accepted", odd[i]);
+	}
+	huge = g_strdup_printf("{\"address\":\"%*s:1\"}", 60000, "1.2.3.4");
+	assert_false(
+	    site_entry_address_parse(addr, (const guchar *)huge, strlen(huge)));
+	g_free(huge);
+	assert_true(site_entry_address_parse(
+	    addr, (const guchar *)"{\"address\":\"10.0.0.1:7000\"}", 27));
+	assert_string_equal(addr, "10.0.0.1:7000");
+}
+
 static bool
 parse_routing(struct mlk_routing *out, const char *text)
 {
@@ -444,6 +626,15 @@
 	assert_false(parse_routing(
 	    &routing, "{\"version\":3,\"routes\":[{\"host\":\"h\"}]}"));
 	assert_false(parse_routing(&routing, "\xfe"));
+	assert_true(parse_routing(&routing,
+	    "{\"version\":3,\"routes\":["
+	    "{\"host\":\"h\",\"path_prefix\":\"/p/\",\"service\":\"s\","
+	    "\"stretch\":1e300},"
+	    "{\"host\":\"h\",\"path_prefix\":\"/q/\",\"service\":\"s\","
+	    "\"stretch\":-2}]}"));
+	assert_int_equal(routing.routes[0].stretch, 1000);
+	assert_int_equal(routing.routes[1].stretch, 1000);
+	mlk_routing_clear(&routing);
 	assert_int_equal(routing.version, 0);
 }
 
@@ -456,11 +647,16 @@
 		cmocka_unit_test(test_job_unsupported),
 		cmocka_unit_test(test_outcomes),
 		cmocka_unit_test(test_announcement),
+		cmocka_unit_test(test_announcement_out_of_range),
+		cmocka_unit_test(test_deep_nesting),
 		cmocka_unit_test(test_order_bodies),
 		cmocka_unit_test(test_order_results),
 		cmocka_unit_test(test_order_unanswered),
 		cmocka_unit_test(test_listing),
+		cmocka_unit_test(test_listing_odd_rows),
 		cmocka_unit_test(test_rows),
+		cmocka_unit_test(test_rows_odd),
+		cmocka_unit_test(test_entry_address),
 		cmocka_unit_test(test_routing),
 	};
 
--- a/test/test_watch.c
+++ b/test/test_watch.c
@@ -43,6 +43,50 @@
 	assert_int_equal(w.version, 7);
 }
 
+/*
+ * Guards against rows of a large table that are never read: the store returns a
+ * limited number at a time.  Changes made between two pages must not be missed
+ * either.
+ */
+static void
+test_reads_all_pages(void **state)
+{
+	struct mlk_watch w;
+
+	(void)state;
+	mlk_watch_init(&w, 1, WAIT_MS);
+	assert_int_equal(mlk_watch_due(&w, 0), MLK_WATCH_READ);
+	assert_string_equal(w.last_key, "");
+	assert_int_equal(mlk_watch_page(&w, "entry-500", 7, 0), 0);
+	assert_int_equal(mlk_watch_due(&w, 0), MLK_WATCH_READ);
+	assert_string_equal(w.last_key, "entry-500");
+	assert_int_equal(mlk_watch_page(&w, "entry-999", 9, 0), 0);
+	assert_int_equal(mlk_watch_due(&w, 0), MLK_WATCH_READ);
+	mlk_watch_ended(&w, MLK_WATCH_ROWS, 12, 0);
+	assert_int_equal(mlk_watch_due(&w, 10 * MS), MLK_WATCH_FOLLOW);
+	assert_int_equal(w.version, 7);
+}
+
+/*
+ * Guards against a read without end when a page repeats keys, and against one
+ * that continues in the middle after a failure of that kind.
+ */
+static void
+test_page_without_progress(void **state)
+{
+	struct mlk_watch w;
+
+	(void)state;
+	mlk_watch_init(&w, 1, WAIT_MS);
+	assert_int_equal(mlk_watch_due(&w, 0), MLK_WATCH_READ);
+	assert_int_equal(mlk_watch_page(&w, "b", 7, 0), 0);
+	assert_int_equal(mlk_watch_due(&w, 0), MLK_WATCH_READ);
+	assert_int_equal(mlk_watch_page(&w, "b", 7, 0), MLK_ERR_INVALID);
+	assert_int_equal(mlk_watch_due(&w, 0), MLK_WATCH_NONE);
+	assert_int_equal(mlk_watch_due(&w, 1000 * MS), MLK_WATCH_READ);
+	assert_string_equal(w.last_key, "");
+}
+
 /*
  * Guards against asking forever for changes that the store has compacted: the
  * whole table must be read again.
@@ -113,6 +157,8 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_follows_from_the_version_read),
+		cmocka_unit_test(test_reads_all_pages),
+		cmocka_unit_test(test_page_without_progress),
 		cmocka_unit_test(test_reads_again_after_compaction),
 		cmocka_unit_test(test_store_return_is_noticed),
 		cmocka_unit_test(test_backs_off),
