dispatch: wait for the runs of another agent under the same id

Cause: ATTACH ended all tasks of an agent id as lost at once. That holds for a restarted agent, but two live agents with one id are possible by a mistake in the settings, and the first one stops its runs only when it notices the end of its link. Change: while the link of the other incarnation is up, its tasks wait for DETACHED_NS as after any lost link. Result: test_duplicate_agent_id fails before and passes after; test_short_silence_moves_nothing guards the other direction: 650 ms of silence move nothing (it passed before as well).

--- a/src/dispatch/dispatcher_agents.c
+++ b/src/dispatch/dispatcher_agents.c
@@ -63,34 +63,48 @@
 }
 
 /*
- * Ends all tasks at an agent as lost; they are queued again.
+ * Ends the tasks of earlier links with an agent as lost; they are queued again.
  */
 static void
-lose_tasks(struct mlk_dispatcher *d, struct agent *a)
+lose_detached(struct mlk_dispatcher *d, struct agent *a)
 {
+	struct task *task;
+	guint i;
+
 	a->detached_until = 0;
-	while (a->tasks->len > 0)
-		dispatch_task_ended(
-		    d, g_ptr_array_index(a->tasks, 0), MLK_RUN_LOST, 0);
+	for (i = a->tasks->len; i > 0; i--) {
+		task = g_ptr_array_index(a->tasks, i - 1);
+		if (task->state == TASK_DETACHED)
+			dispatch_task_ended(d, task, MLK_RUN_LOST, 0);
+	}
 }
 
 /*
  * Handles ATTACH.  An agent attaches only when none of this entry's runs is
- * left at its worker.
+ * left at its worker, so the tasks of its earlier link are lost.  That does not
+ * hold for the tasks of another agent under the same id, which is still linked.
  */
 void
 dispatch_attach(
     struct mlk_dispatcher *d, struct link *link, const struct mlk_msg *msg)
 {
 	struct mlk_msg *welcome;
+	bool replaces = false;
 	struct agent *a;
 
 	a = agent_get(d, msg->u.attach.id);
 	if (a->link != 0) {
+		replaces = a->incarnation != msg->u.attach.incarnation;
 		dispatch_close(d, a->link);
 		dispatch_agent_down(d, a);
 	}
-	lose_tasks(d, a);
+	if (replaces)
+		dispatch_log(d, MLK_LOG_WARNING, NULL, a->id,
+		    "another agent attaches under the same id, %u tasks are "
+		    "waited for",
+		    a->tasks->len);
+	else
+		lose_detached(d, a);
 	link->kind = LINK_AGENT;
 	link->agent = a;
 	a->link = link->link;
@@ -234,12 +248,10 @@
 
 	for (i = 0; i < d->agents->len; i++) {
 		a = g_ptr_array_index(d->agents, i);
-		if (a->link == 0) {
-			if (a->detached_until != 0 &&
-			    d->now >= a->detached_until)
-				lose_tasks(d, a);
+		if (a->detached_until != 0 && d->now >= a->detached_until)
+			lose_detached(d, a);
+		if (a->link == 0)
 			continue;
-		}
 		busy = a->tasks->len > 0;
 		if (d->now >= d->paused_until &&
 		    d->now - a->last_recv >= (busy ? AGENT_TIMEOUT_BUSY_NS :
--- a/test/test_dispatcher.c
+++ b/test/test_dispatcher.c
@@ -224,6 +224,62 @@
 	assert_int_equal(bench_sent_tasks(b, &a), 1);
 }
 
+/*
+ * Guards against a second run while another agent under the same id still has
+ * the first one: its link is up, so it may be alive.
+ */
+static void
+test_duplicate_agent_id(void **state)
+{
+	struct dispatch_bench *b = *state;
+	struct bench_agent a, c;
+	int i;
+
+	bench_attach(b, &a, "agent-1", "dc-a", CPU);
+	(void)bench_submit(b, "job", 1, 6000, 5000);
+	assert_int_equal(bench_sent_tasks(b, &a), 1);
+	bench_attach(b, &c, "agent-1", "dc-a", CPU);
+	assert_int_equal(bench_sent_tasks(b, &c), 0);
+	for (i = 0; i < 61; i++) {
+		bench_advance(b, 20);
+		assert_int_equal(bench_sent_tasks(b, &c), 0);
+		if (i % 10 == 0)
+			bench_report_worker(b, &c, MLK_WORKER_READY);
+	}
+	bench_advance(b, 20);
+	bench_advance(b, 20);
+	assert_int_equal(bench_sent_tasks(b, &c), 1);
+}
+
+#define SHORT_SILENCE_MS 650 /* runs are given up after 700 ms */
+
+/*
+ * Guards against work that is started elsewhere, or given up, because its agent
+ * is slow to report for a moment.
+ */
+static void
+test_short_silence_moves_nothing(void **state)
+{
+	struct dispatch_bench *b = *state;
+	struct bench_agent a, c;
+	uint64_t request;
+	int i;
+
+	bench_attach(b, &a, "agent-1", "dc-a", CPU);
+	request = bench_submit(b, "job", 1, 6000, 5000);
+	assert_int_equal(bench_sent_tasks(b, &a), 1);
+	bench_attach(b, &c, "agent-2", "dc-a", CPU);
+	for (i = 0; i < SHORT_SILENCE_MS / 10; i++) {
+		bench_advance(b, 10);
+		assert_int_equal(bench_sent_tasks(b, &c), 0);
+		assert_null(bench_sent(b, &a, MLK_MSG_DROP, 0));
+	}
+	bench_end_run(b, &a, 1, 0, MLK_RUN_DONE);
+	expect_answer(b, request, MLK_WORK_COMPLETED);
+	assert_int_equal(mlk_dispatch_counters(b->d)->links_silent, 0);
+	assert_int_equal(mlk_dispatch_counters(b->d)->tasks_sent, 1);
+}
+
 /* Guards against runs that continue after their caller has disconnected. */
 static void
 test_caller_left(void **state)
@@ -660,6 +716,8 @@
 		TEST(test_outcome_after_deadline),
 		TEST(test_lost_link_waits_for_leases),
 		TEST(test_attach_ends_lease_wait),
+		TEST(test_duplicate_agent_id),
+		TEST(test_short_silence_moves_nothing),
 		TEST(test_caller_left),
 		TEST(test_same_id_joins),
 		TEST(test_job_placed_on_one_worker),
