runner: an agent whose worker was taken over gives no more orders

Cause: an agent whose order was rejected by its fence raised the fence until the worker accepted it. That is right at its start; but when the worker had accepted its fence before, the higher one is that of a successor. A first agent that was paused, or stops late, took the worker back, stopped the runs of its successor as foreign, and both gave orders in turn. Change: such an agent stands down. It gives no order for 1.5 s, doubled each time up to 24 s; its runs end when every lease that it granted has expired. Then it takes over as a new agent does, since the other one may have died.

--- a/src/dispatch/runner.c
+++ b/src/dispatch/runner.c
@@ -147,7 +147,7 @@
 
 	if (!w->known || w->left_at != 0 || !r->predecessor_done ||
 	    !w->no_foreign_runs || w->boot != w->info.boot ||
-	    w->conn_refused > 0 || runner_away(r))
+	    w->conn_refused > 0 || runner_superseded(r) || runner_away(r))
 		return (MLK_WORKER_UNAVAILABLE);
 	if (r->stopping || w->info.state != MLK_WORKER_READY)
 		return (MLK_WORKER_DRAINING);
@@ -260,9 +260,10 @@
 		    err, MLK_ERR_INVALID, "the runner has stopped"));
 	r->out = out;
 	r->now = ev->now;
-	if (r->created == 0)
-		r->created = ev->now;
+	if (r->claimed_at == 0)
+		r->claimed_at = ev->now;
 	handle_event(r, ev);
+	runner_take_over_due(r);
 	runner_health_due(r);
 	runner_worker_due(r);
 	runner_links_due(r);
--- a/src/dispatch/runner_listing.c
+++ b/src/dispatch/runner_listing.c
@@ -146,6 +146,7 @@
 	if (order->fence != w->fence)
 		return;
 	w->fence_unconfirmed = false;
+	w->fence_held = true;
 	if (foreign)
 		return;
 	w->no_foreign_runs = true;
@@ -199,7 +200,7 @@
 	uint32_t slot;
 	bool away;
 
-	if (!w->known || w->left_at != 0)
+	if (!w->known || w->left_at != 0 || runner_superseded(r))
 		return;
 	away = runner_away(r);
 	/*
--- a/src/dispatch/runner_orders.c
+++ b/src/dispatch/runner_orders.c
@@ -166,19 +166,41 @@
 	    r->worker.fence, cause);
 }
 
+bool
+runner_superseded(const struct mlk_runner *r)
+{
+	return (r->worker.superseded_until != 0);
+}
+
 /*
- * The worker rejected an order by its fence.  An order below the current fence
- * is only outdated.  Otherwise an earlier agent, or an order to an earlier boot
- * of the worker, has used a higher fence; the fence is then raised in doubling
- * steps until the worker accepts it.
+ * The worker has accepted a higher fence after it had accepted ours: another
+ * agent has taken it over, perhaps while this process was paused.  That agent
+ * stops the runs of this one; here they end when their leases have expired.
  */
 static void
-on_fenced(struct mlk_runner *r, const struct order *order)
+stand_down(struct mlk_runner *r)
+{
+	struct worker *w = &r->worker;
+
+	w->stand_down =
+	    CLAMP(w->stand_down * 2, STAND_DOWN_MIN_NS, STAND_DOWN_MAX_NS);
+	w->superseded_until = r->now + w->stand_down;
+	r->counters.superseded++;
+	runner_log(r, MLK_LOG_WARNING, NULL,
+	    "another agent has taken over the worker: fence %" PRIu64
+	    " is rejected; no orders for %" PRId64 " ms, %u runs active",
+	    w->fence, w->stand_down / MS, r->nactive);
+}
+
+/*
+ * Raises the fence above one that the worker has seen, in doubling steps since
+ * the value is unknown.
+ */
+static void
+outbid_fence(struct mlk_runner *r)
 {
 	struct worker *w = &r->worker;
 
-	if (order->fence < w->fence)
-		return;
 	w->fence += 1ULL << (FENCE_SHIFT + MIN(w->fence_rejections, 32U));
 	w->fence_rejections++;
 	w->fence_unconfirmed = true;
@@ -187,11 +209,49 @@
 	    "the worker has seen a higher fence; trying %" PRIu64, w->fence);
 }
 
+/*
+ * The worker rejected an order by its fence.  An order below the current fence
+ * is only outdated.  Before this boot has accepted a fence of this agent, the
+ * higher one is that of an earlier agent, or of an order to an earlier boot.
+ */
+static void
+on_fenced(struct mlk_runner *r, const struct order *order)
+{
+	if (order->fence < r->worker.fence || runner_superseded(r))
+		return;
+	if (r->worker.fence_held)
+		stand_down(r);
+	else
+		outbid_fence(r);
+}
+
+/*
+ * Takes the worker over again when the time without orders is over, as an agent
+ * does that has just started: the other one may have died, or the higher fence
+ * was that of a delayed order of a dead one.
+ */
+void
+runner_take_over_due(struct mlk_runner *r)
+{
+	struct worker *w = &r->worker;
+
+	if (!runner_superseded(r) || r->now < w->superseded_until ||
+	    r->nactive > 0 || r->stopping)
+		return;
+	w->superseded_until = 0;
+	w->fence_held = false;
+	w->no_foreign_runs = false;
+	w->list_after = r->now;
+	r->claimed_at = r->now;
+	r->predecessor_done = false;
+	outbid_fence(r);
+}
+
 bool
 runner_may_start_again(const struct mlk_runner *r, const struct run *run)
 {
 	return (!run->stop_wanted && run->tries < START_TRIES_MAX &&
-	    r->now < run->deadline &&
+	    !runner_superseded(r) && r->now < run->deadline &&
 	    runner_lease_end(r) - r->now >= LEASE_MIN_NS);
 }
 
--- a/src/dispatch/runner_priv.h
+++ b/src/dispatch/runner_priv.h
@@ -82,6 +82,13 @@
 #define STALE_RUN_MS 400 /* a RUN message older than this is refused */
 #define START_TRIES_MAX 6
 #define FENCE_SHIFT 8 /* low bits of a fence, for raises by one agent */
+/*
+ * An agent whose worker has accepted a higher fence of another agent gives no
+ * orders for this long, doubled each time.  The least time is longer than any
+ * lease that it has granted.
+ */
+#define STAND_DOWN_MIN_NS (1500 * MS)
+#define STAND_DOWN_MAX_NS (24000 * MS)
 #define REPORT_BUSY_NS (250 * MS) /* to an entry that has runs here */
 #define REPORT_IDLE_NS (1000 * MS)
 #define LINK_TIMEOUT_NS (3000 * MS) /* silence that closes an idle link */
@@ -183,6 +190,11 @@
 	uint64_t fence; /* used for the next order */
 	uint32_t fence_rejections; /* consecutive orders rejected with the
 				      current fence */
+	bool fence_held; /* this boot has answered a listing under a fence of
+			    this agent */
+	int64_t superseded_until; /* no orders before this time: another agent
+				     gives them; 0: this agent does */
+	int64_t stand_down; /* length of the last such time */
 	bool no_foreign_runs; /* a listing of this boot showed no foreign run */
 	int64_t list_clock_ms; /* worker's clock in the last listing applied */
 	int64_t leases_expired_at; /* by then all leases granted have expired */
@@ -206,7 +218,8 @@
 	struct mlk_runner_options options;
 	struct mlk_runner_counters counters;
 	struct worker worker;
-	int64_t created; /* time of the first event */
+	int64_t claimed_at; /* time of the first event, or of the last take-over
+			       from another agent */
 	int64_t now;
 	bool predecessor_done; /* no run of an earlier agent is left */
 	bool stopping;
@@ -238,6 +251,7 @@
 enum mlk_worker_state runner_state(const struct mlk_runner *r);
 bool runner_takes_work(const struct mlk_runner *r);
 bool runner_on_probation(const struct mlk_runner *r);
+bool runner_superseded(const struct mlk_runner *r);
 
 /* runner_runs.c */
 uint64_t runner_job_key(const struct run *run);
@@ -276,6 +290,7 @@
     struct mlk_runner *r, const struct mlk_runner_event *ev);
 void runner_orders_forget(struct mlk_runner *r, const struct run *run);
 void runner_fence_raise(struct mlk_runner *r, const char *cause);
+void runner_take_over_due(struct mlk_runner *r);
 
 /* runner_listing.c */
 void runner_listed(struct mlk_runner *r, const struct mlk_runner_event *ev,
--- a/src/dispatch/runner_worker.c
+++ b/src/dispatch/runner_worker.c
@@ -90,6 +90,7 @@
 	if (w->boot != 0)
 		runner_fence_raise(r, "the worker has restarted");
 	w->boot = boot;
+	w->fence_held = false;
 	memset(&r->health, 0, sizeof(r->health));
 	w->acked = 0;
 	w->ack_sent = 0;
@@ -230,6 +231,11 @@
 	    r->now >= w->leases_expired_at)
 		runner_runs_lost(r, INT64_MAX,
 		    "the worker does not answer, and every lease has run out");
+	if (r->nactive > 0 && runner_superseded(r) &&
+	    r->now >= w->leases_expired_at)
+		runner_runs_lost(r, INT64_MAX,
+		    "another agent has the worker, and every lease has run "
+		    "out");
 	if (w->left_at != 0 && r->nactive > 0 && r->now - w->left_at >= LEFT_NS)
 		runner_runs_lost(r, INT64_MAX, "the worker has left");
 	/*
@@ -237,7 +243,7 @@
 	 * the time of a lease none of its runs is left.
 	 */
 	if (!r->predecessor_done &&
-	    r->now - r->created >= (int64_t)r->options.lease_ms * MS +
+	    r->now - r->claimed_at >= (int64_t)r->options.lease_ms * MS +
 		    (int64_t)r->options.lease_ms * MS * LEASE_SLACK_PERCENT /
 			100 +
 		    LEASE_SLACK_NS)
--- /dev/null
+++ b/test/test_runner_fence.c
@@ -0,0 +1,406 @@
+/*
+ * Tests of two agents that give orders to one worker, as around a hand-over or
+ * after a pause of the first one.  The runners are real; the worker is
+ * simulated and carries out orders by its fence.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <glib.h>
+
+#include "fake_worker.h"
+
+#define MS ((int64_t)MLK_NSEC_PER_MSEC)
+#define TICK_MS 10
+#define LINK 5
+#define JOB 77
+#define WORK_MS 5000
+
+/* An agent with one entry attached. */
+struct agent {
+	struct mlk_runner *r;
+	uint32_t connect; /* last connection attempt */
+	bool attached;
+	uint64_t last_sent_at; /* of its last message to the entry */
+	uint32_t accepted; /* orders that the worker accepted */
+	uint32_t starts; /* of them starts */
+	enum mlk_worker_state state; /* last reported */
+};
+
+/* An order on its way to the worker. */
+struct pending {
+	struct agent *agent;
+	struct mlk_order order; /* without its spec */
+};
+
+struct bench {
+	struct fake_worker worker;
+	GArray *pending; /* struct pending; carried out at the next tick */
+	struct agent a, b;
+	uint64_t announce_seq;
+	int64_t now; /* ms */
+	int64_t run_ended_at; /* at the worker; 0: none has ended */
+};
+
+static void
+note_worker(struct bench *t)
+{
+	if (t->worker.nends > 0 && t->run_ended_at == 0)
+		t->run_ended_at = t->now;
+}
+
+static void
+note_message(struct agent *a, const struct mlk_msg *msg)
+{
+	switch (msg->type) {
+	case MLK_MSG_ATTACH:
+		a->attached = true;
+		break;
+	case MLK_MSG_WORKER:
+		a->last_sent_at = msg->u.worker.sent_at;
+		a->state = msg->u.worker.info.state;
+		break;
+	case MLK_MSG_ENDS:
+		a->last_sent_at = msg->u.ends.sent_at;
+		break;
+	default:
+		break;
+	}
+}
+
+static void
+apply(struct bench *t, struct agent *a, struct mlk_runner_event *ev)
+{
+	struct mlk_runner_effects fx = { 0 };
+	struct pending pending = { .agent = a };
+	struct mlk_error err = { 0 };
+	size_t i;
+
+	ev->now = t->now * MS;
+	assert_int_equal(mlk_runner_apply(a->r, ev, &fx, &err), 0);
+	for (i = 0; i < fx.n; i++) {
+		if (fx.items[i].type == MLK_RUNNER_FX_ORDER) {
+			pending.order = fx.items[i].u.order;
+			memset(
+			    &pending.order.spec, 0, sizeof(pending.order.spec));
+			(void)g_array_append_val(t->pending, pending);
+		} else if (fx.items[i].type == MLK_RUNNER_FX_SEND)
+			note_message(a, &fx.items[i].u.send.msg);
+		else if (fx.items[i].type == MLK_RUNNER_FX_CONNECT)
+			a->connect = fx.items[i].u.connect.connect;
+	}
+	mlk_runner_effects_free(&fx);
+}
+
+/*
+ * Carries out the orders that were sent before this tick.  The result for a
+ * paused agent is kept until it resumes.
+ */
+static void
+run_orders(struct bench *t, const struct agent *paused)
+{
+	static const struct mlk_resources task = { .cpu = 1000, .mem_mb = 64 };
+	struct mlk_runner_event ev;
+	struct pending pending;
+	guint i, n = t->pending->len;
+
+	for (i = 0; i < n; i++) {
+		pending = g_array_index(t->pending, struct pending, 0);
+		(void)g_array_remove_index(t->pending, 0);
+		if (pending.agent->r == NULL)
+			continue;
+		if (pending.agent == paused) {
+			(void)g_array_append_val(t->pending, pending);
+			continue;
+		}
+		fake_worker_order(
+		    &t->worker, &pending.order, &task, WORK_MS, &ev);
+		if (ev.u.order.result == MLK_ORDER_OK) {
+			pending.agent->accepted++;
+			pending.agent->starts +=
+			    pending.order.type == MLK_ORDER_START;
+		}
+		note_worker(t);
+		apply(t, pending.agent, &ev);
+	}
+}
+
+static void
+deliver(struct bench *t, struct agent *a, struct mlk_msg *msg)
+{
+	struct mlk_runner_event ev = { .type = MLK_RUNNER_MSG };
+
+	ev.u.msg.link = LINK;
+	ev.u.msg.msg = msg;
+	apply(t, a, &ev);
+}
+
+/*
+ * The entry answers the agent's messages, which keeps its lease alive.
+ */
+static void
+ping(struct bench *t, struct agent *a)
+{
+	struct mlk_msg msg = { .type = MLK_MSG_PING };
+
+	msg.u.ping.sent_at = (uint64_t)t->now;
+	msg.u.ping.echo = a->last_sent_at;
+	deliver(t, a, &msg);
+}
+
+static void
+announce(struct bench *t, struct agent *a)
+{
+	struct mlk_runner_event ev = { .type = MLK_RUNNER_ANNOUNCED };
+	struct mlk_announcement announcement;
+
+	fake_worker_announce(&t->worker, ++t->announce_seq, &announcement);
+	ev.u.announced = &announcement;
+	apply(t, a, &ev);
+}
+
+/*
+ * Advances the time; `paused` handles no event.
+ */
+static void
+advance(struct bench *t, int64_t ms, const struct agent *paused)
+{
+	struct mlk_runner_event ev = { .type = MLK_RUNNER_TICK };
+	struct agent *agents[] = { &t->a, &t->b };
+	int64_t end = t->now + ms;
+	size_t i;
+
+	while (t->now < end) {
+		t->now += TICK_MS;
+		fake_worker_advance(&t->worker, t->now);
+		note_worker(t);
+		run_orders(t, paused);
+		for (i = 0; i < G_N_ELEMENTS(agents); i++) {
+			if (agents[i] == paused || agents[i]->r == NULL)
+				continue;
+			apply(t, agents[i], &ev);
+			if (agents[i]->attached && t->now % 100 == 0)
+				ping(t, agents[i]);
+		}
+	}
+}
+
+/*
+ * Starts an agent that gets the given announcement and a link with the entry.
+ */
+static void
+start_agent_with(struct bench *t, struct agent *a, const char *id,
+    const struct mlk_announcement *announcement, const struct agent *paused)
+{
+	struct mlk_runner_event ev = { .type = MLK_RUNNER_ANNOUNCED };
+	struct mlk_runner_event up = { .type = MLK_RUNNER_LINK_UP };
+	char entries[1][MLK_ADDR_MAX] = { "10.0.0.1:7000" };
+	struct mlk_runner_options options;
+
+	mlk_runner_options_default(&options);
+	(void)g_strlcpy(options.id, id, sizeof(options.id));
+	options.incarnation = (uint64_t)t->now;
+	options.nentries = 1;
+	options.entries = entries;
+	a->r = mlk_runner_create(&options);
+	ev.u.announced = announcement;
+	apply(t, a, &ev);
+	advance(t, TICK_MS, paused);
+	up.u.link.link = LINK;
+	up.u.link.connect = a->connect;
+	apply(t, a, &up);
+	advance(t, 300, paused);
+}
+
+/*
+ * Starts an agent, which finds the worker and attaches to the entry.  The other
+ * agent handles no event meanwhile if it is paused.
+ */
+static void
+start_agent(struct bench *t, struct agent *a, const char *id,
+    const struct agent *paused)
+{
+	struct mlk_announcement announcement;
+
+	fake_worker_announce(&t->worker, ++t->announce_seq, &announcement);
+	start_agent_with(t, a, id, &announcement, paused);
+	assert_true(a->attached);
+	ping(t, a);
+}
+/*
+ * The entry sends one task of a long run.
+ */
+static void
+send_run(struct bench *t, struct agent *a)
+{
+	struct mlk_run_task task = { .resources = {
+					 .cpu = 1000, .mem_mb = 64 } };
+	struct mlk_msg msg = { .type = MLK_MSG_RUN };
+
+	msg.u.run.sent_at = (uint64_t)t->now;
+	msg.u.run.seq = 1;
+	msg.u.run.job = JOB;
+	(void)strcpy(msg.u.run.id, "5c0e7a21d94b36f8");
+	msg.u.run.deadline_ms = 4 * WORK_MS;
+	msg.u.run.n = 1;
+	msg.u.run.tasks = &task;
+	deliver(t, a, &msg);
+	advance(t, 2 * TICK_MS, NULL);
+}
+
+static int
+setup(void **state)
+{
+	struct bench *t = g_new0(struct bench, 1);
+
+	t->now = 10000;
+	t->pending = g_array_new(FALSE, FALSE, sizeof(struct pending));
+	fake_worker_init(&t->worker, "worker-1", 1000, 64000, t->now);
+	start_agent(t, &t->a, "agent-1", NULL);
+	*state = t;
+	return (0);
+}
+
+static int
+teardown(void **state)
+{
+	struct bench *t = *state;
+
+	mlk_runner_destroy(t->a.r);
+	mlk_runner_destroy(t->b.r);
+	(void)g_array_free(t->pending, TRUE);
+	g_free(t);
+	return (0);
+}
+
+/*
+ * Guards against a first agent that outbids the fence of its successor and goes
+ * on to give orders: the two would stop each other's runs in turn.
+ */
+static void
+test_superseded_agent_gives_no_orders(void **state)
+{
+	struct bench *t = *state;
+	uint32_t accepted;
+	uint64_t fence;
+
+	send_run(t, &t->a);
+	assert_int_equal(t->a.starts, 1);
+	start_agent(t, &t->b, "agent-2", NULL);
+	assert_int_equal(t->b.state, MLK_WORKER_READY);
+	accepted = t->a.accepted;
+	fence = t->worker.fence;
+	advance(t, 1000, NULL);
+	assert_int_equal(t->a.accepted, accepted);
+	assert_int_equal(t->worker.fence, fence);
+	assert_int_equal(mlk_runner_counters(t->a.r)->superseded, 1);
+	assert_int_equal(mlk_runner_counters(t->b.r)->superseded, 0);
+	assert_int_equal(t->a.state, MLK_WORKER_UNAVAILABLE);
+	assert_int_equal(t->b.state, MLK_WORKER_READY);
+}
+
+/*
+ * Guards against an agent that was paused while its successor took over, and
+ * acts on its old permission when it resumes.  Its run must have ended at the
+ * worker before it is removed from the agent's table.
+ */
+static void
+test_resumed_agent_stands_down(void **state)
+{
+	struct bench *t = *state;
+	struct mlk_runner_gauges gauges;
+	uint32_t accepted, starts;
+
+	send_run(t, &t->a);
+	accepted = t->a.accepted;
+	start_agent(t, &t->b, "agent-2", &t->a);
+	advance(t, 3000, &t->a);
+	starts = t->a.starts;
+	announce(t, &t->a);
+	send_run(t, &t->a);
+	advance(t, 1000, NULL);
+	assert_int_equal(t->a.accepted, accepted);
+	assert_int_equal(t->a.starts, starts);
+	assert_true(t->run_ended_at != 0);
+	advance(t, 400, NULL);
+	mlk_runner_gauges(t->a.r, &gauges);
+	assert_int_equal(gauges.running, 0);
+}
+
+/*
+ * Guards against a worker that is lost for good when the agent with the higher
+ * fence has died.
+ */
+static void
+test_takes_over_from_a_dead_agent(void **state)
+{
+	struct bench *t = *state;
+	struct mlk_runner *r;
+
+	start_agent(t, &t->b, "agent-2", NULL);
+	advance(t, 500, NULL);
+	assert_int_equal(t->a.state, MLK_WORKER_UNAVAILABLE);
+	r = t->b.r;
+	t->b.r = NULL;
+	mlk_runner_destroy(r);
+	advance(t, 3000, NULL);
+	assert_int_equal(t->a.state, MLK_WORKER_READY);
+	send_run(t, &t->a);
+	assert_int_equal(t->a.starts, 1);
+}
+
+/*
+ * Guards against a worker that has left and is in use again after a restart of
+ * its agent: a delayed announcement of it arrives before that of the worker
+ * which has its address now.
+ */
+static void
+test_departed_worker_is_not_used(void **state)
+{
+	struct bench *t = *state;
+	struct mlk_runner_event ev = { .type = MLK_RUNNER_ANNOUNCED };
+	struct mlk_announcement old;
+
+	fake_worker_announce(&t->worker, 100, &old);
+	mlk_runner_destroy(t->a.r);
+	t->a.r = NULL;
+	fake_worker_init(&t->worker, "worker-2", 2000, 64000, t->now);
+	start_agent_with(t, &t->b, "agent-1", &old, NULL);
+	advance(t, 2000, NULL);
+	ping(t, &t->b);
+	send_run(t, &t->b);
+	assert_int_equal(t->b.accepted, 0);
+	assert_int_equal(t->b.state, MLK_WORKER_UNAVAILABLE);
+	t->announce_seq = 0;
+	announce(t, &t->b);
+	advance(t, 500, NULL);
+	assert_int_equal(t->b.state, MLK_WORKER_READY);
+	ev.u.announced = &old;
+	apply(t, &t->b, &ev);
+	advance(t, 500, NULL);
+	assert_int_equal(t->b.state, MLK_WORKER_READY);
+	send_run(t, &t->b);
+	assert_int_equal(t->b.starts, 1);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(
+		    test_superseded_agent_gives_no_orders, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_resumed_agent_stands_down, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_takes_over_from_a_dead_agent, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_departed_worker_is_not_used, setup, teardown),
+	};
+
+	return (cmocka_run_group_tests(tests, NULL, NULL));
+}
