runner: try an entry at once when it is reported to have started

Their attempts had been sent before the machines were up and hung until the timeout of 400 ms; refused ones were repeated after growing intervals. An entry's changed row in the store told the agents of its start, and was not used. Change: a reported entry without a link is tried at once, and an attempt that has been without a result for 50 ms is replaced.

--- a/src/dispatch/runner.c
+++ b/src/dispatch/runner.c
@@ -227,8 +227,7 @@
 		break;
 	case MLK_RUNNER_ENTRIES:
 		for (i = 0; i < ev->u.entries.n; i++)
-			(void)runner_entry_learn(
-			    r, ev->u.entries.addrs[i], false);
+			runner_entry_reported(r, ev->u.entries.addrs[i]);
 		break;
 	case MLK_RUNNER_ANNOUNCED:
 		runner_announced(r, ev->u.announced);
--- a/src/dispatch/runner_links.c
+++ b/src/dispatch/runner_links.c
@@ -65,6 +65,29 @@
 	return (e);
 }
 
+/*
+ * Handles the report of another process, or a changed row of the store, that an
+ * entry has this address.  An entry without a link is tried at once: it has
+ * probably just started.  The interval between attempts may have grown to
+ * CONNECT_RETRY_MAX_NS, and an attempt that was sent before its machine was up
+ * hangs until it times out.  After a power failure all agents are in this
+ * state, while the callers are up and send.
+ */
+void
+runner_entry_reported(struct mlk_runner *r, const char *addr)
+{
+	struct entry *e;
+
+	e = runner_entry_learn(r, addr, false);
+	if (e == NULL || e->link != 0)
+		return;
+	if (e->connect != 0 && r->now - e->connect_at < CONNECT_HUNG_NS)
+		return;
+	e->connect = 0;
+	e->retry_ns = CONNECT_RETRY_NS;
+	e->retry_at = r->now;
+}
+
 static struct entry *
 entry_of_link(struct mlk_runner *r, uint32_t link)
 {
@@ -137,13 +160,19 @@
 }
 
 static void
-close_link(struct mlk_runner *r, struct entry *e)
+push_close(struct mlk_runner *r, uint32_t link)
 {
 	struct mlk_runner_effect *fx;
 
 	fx = mlk_runner_push(r->out, MLK_RUNNER_FX_CLOSE);
 	if (fx != NULL)
-		fx->u.close.link = e->link;
+		fx->u.close.link = link;
+}
+
+static void
+close_link(struct mlk_runner *r, struct entry *e)
+{
+	push_close(r, e->link);
 	detach(r, e);
 }
 
@@ -166,6 +195,8 @@
 		mlk_skew_reset(&e->skew);
 		return;
 	}
+	/* An attempt that was replaced by a later one. */
+	push_close(r, link);
 }
 
 void
@@ -259,7 +290,7 @@
 	uint32_t i;
 
 	for (i = 0; i < msg->u.peers.n; i++)
-		(void)runner_entry_learn(r, msg->u.peers.peers[i].addr, false);
+		runner_entry_reported(r, msg->u.peers.peers[i].addr);
 }
 
 void
@@ -330,6 +361,7 @@
 	if (fx == NULL)
 		return;
 	e->connect = ++r->last_connect;
+	e->connect_at = r->now;
 	fx->u.connect.connect = e->connect;
 	(void)g_strlcpy(
 	    fx->u.connect.addr, e->addr, sizeof(fx->u.connect.addr));
--- a/src/dispatch/runner_priv.h
+++ b/src/dispatch/runner_priv.h
@@ -99,6 +99,11 @@
  */
 #define CONNECT_RETRY_NS (60 * MS)
 #define CONNECT_RETRY_MAX_NS (1000 * MS)
+/*
+ * An attempt without a result after this time is taken to hang; an answer takes
+ * 2 to 7 ms.
+ */
+#define CONNECT_HUNG_NS (50 * MS)
 /* A discovered entry that was not reached for this long is forgotten. */
 #define ENTRY_FORGET_NS (60000 * MS)
 
@@ -116,6 +121,7 @@
 	bool configured; /* from the settings: never forgotten */
 	uint32_t connect; /* id of the connection attempt; 0: none */
 	uint32_t link; /* 0: none */
+	int64_t connect_at; /* time of that attempt */
 	bool attached; /* ATTACH was sent on this link */
 	int64_t retry_at;
 	int64_t retry_ns;
@@ -319,6 +325,7 @@
 void runner_worker_due(struct mlk_runner *r);
 
 /* runner_links.c */
+void runner_entry_reported(struct mlk_runner *r, const char *addr);
 struct entry *runner_entry_learn(
     struct mlk_runner *r, const char *addr, bool configured);
 void runner_link_up(struct mlk_runner *r, uint32_t link, uint32_t connect);
