dispatch: finish a late job of which at most half is left

Change: once such a job is late, its place in the queue follows from the last start that gives a late but useful result (three goals), as long as at most half of its tasks are left. Ruled out: refusal by the predicted wait, and the same rule for all begun jobs; both serve fewer in time (docs/decisions/load.md). Test: test_nearly_done_job_is_finished, which fails before.

--- a/src/dispatch/dispatcher_jobs.c
+++ b/src/dispatch/dispatcher_jobs.c
@@ -11,6 +11,12 @@
  * to the caller.
  */
 #define USEFUL_GOALS 3
+/*
+ * At most 1/REMAINDER_DIVISOR of a job's tasks may be left for it to be
+ * finished late.  Without a bound, begun jobs would crowd out those that are on
+ * time.
+ */
+#define REMAINDER_DIVISOR 2
 /*
  * Run times may exceed the expected ones, and a job ends only with its longest
  * task.  Under overload, least-slack-first starts every job as late as its
@@ -494,6 +500,30 @@
 	return (d->now >= MIN(useful, half));
 }
 
+/*
+ * Extends the latest start of a late job of which little is left, to that of a
+ * result that is late but useful.
+ *
+ * In an overload, late jobs come after all jobs that are on time, and a job
+ * that waits for its last tasks would never end: its runs would have been for
+ * nothing, and its caller waits until the deadline.  The remainder costs less
+ * than a job that has yet to start.
+ */
+static void
+extend_begun(struct mlk_dispatcher *d, struct job *job)
+{
+	int64_t work;
+
+	if (job->extended || !job->ran || job->nqueued == 0 ||
+	    job->start_by >= d->now ||
+	    job->nleft * REMAINDER_DIVISOR > job->ntasks)
+		return;
+	work = job->arrived + job->goal_ns - job->start_by;
+	job->extended = true;
+	dispatch_requeue(
+	    d, job, job->arrived + job->goal_ns * USEFUL_GOALS - work);
+}
+
 /*
  * Ends jobs whose deadline has passed or that have waited too long.
  */
@@ -512,6 +542,8 @@
 		if (d->now >= ((struct job *)job)->deadline ||
 		    waited_too_long(d, job))
 			g_ptr_array_add(over, job);
+		else
+			extend_begun(d, job);
 	}
 	for (i = 0; i < over->len; i++)
 		job_give_up(d, g_ptr_array_index(over, i), MLK_WORK_LATE,
--- a/src/dispatch/dispatcher_priv.h
+++ b/src/dispatch/dispatcher_priv.h
@@ -174,6 +174,7 @@
 	uint32_t nqueued;
 	uint32_t nsent; /* SENT or DETACHED */
 	bool ran; /* a run of it has started */
+	bool extended; /* start_by refers to a late but useful result */
 	struct agent *avoid[AVOID_MAX];
 	uint32_t navoid;
 	GSequenceIter *queue_iter; /* NULL: no task is queued */
@@ -290,6 +291,8 @@
 
 /* dispatcher_queue.c */
 void dispatch_enqueue(struct mlk_dispatcher *d, struct task *task);
+void dispatch_requeue(
+    struct mlk_dispatcher *d, struct job *job, int64_t start_by);
 void dispatch_dequeue(struct mlk_dispatcher *d, struct task *task);
 void dispatch_walk_begin(struct mlk_dispatcher *d, struct queue_walk *walk);
 struct job *dispatch_walk_next(struct queue_walk *walk);
--- a/test/test_dispatcher.c
+++ b/test/test_dispatcher.c
@@ -502,6 +502,46 @@
 	assert_string_equal(msg->u.run.id, "missed");
 }
 
+/*
+ * Guards against a late job that waits for its last task until its deadline,
+ * with its other tasks done: in an overload there is always a job that is still
+ * on time.  Here twice as much work arrives as fits, and the last task must be
+ * sent before the result is of no use.
+ */
+static void
+test_nearly_done_job_is_finished(void **state)
+{
+	enum { USEFUL_MS = 3 * 140, STEP_MS = 20 };
+	struct dispatch_bench *b = *state;
+	const struct mlk_msg *msg;
+	struct bench_agent a;
+	bool sent = false;
+	char id[16];
+	int i;
+
+	bench_attach(b, &a, "agent-1", "dc-a", CPU);
+	(void)bench_submit(b, "begun", 4, 6000, 5000);
+	a.free.cpu = 0;
+	a.seen = 1;
+	for (i = 0; i < 3; i++)
+		bench_end_run(b, &a, 1, (uint32_t)i, MLK_RUN_DONE);
+	bench_end_run(b, &a, 1, 3, MLK_RUN_BUSY);
+	for (i = 0; i < USEFUL_MS / STEP_MS && !sent; i++) {
+		bench_advance(b, STEP_MS);
+		(void)snprintf(id, sizeof(id), "new-%d", 2 * i);
+		(void)bench_submit(b, id, 1, 6000, 2000);
+		(void)snprintf(id, sizeof(id), "new-%d", 2 * i + 1);
+		(void)bench_submit(b, id, 1, 6000, 2000);
+		/* Until its goal has passed it is the most urgent job. */
+		if (i * STEP_MS < 140)
+			continue;
+		bench_offer(b, &a, (uint64_t)i + 1, 6000);
+		msg = bench_sent(b, &a, MLK_MSG_RUN, 0);
+		sent = msg != NULL && strcmp(msg->u.run.id, "begun") == 0;
+	}
+	assert_true(sent);
+}
+
 /*
  * Guards against a late refusal: the result of a job that would take more than
  * three times its target response time is of no use to its caller.
@@ -727,6 +767,7 @@
 		TEST(test_offers_keep_link_alive),
 		TEST(test_report_cost_with_backlog),
 		TEST(test_late_job_yields),
+		TEST(test_nearly_done_job_is_finished),
 		TEST(test_long_waiting_job_is_refused),
 		TEST(test_drain_rate_ignores_idle_time),
 		TEST(test_new_peers_are_sent_once),
