dispatch: count the silence of an agent from its first task

Cause: an agent without work of an entry reports once a second, and one with work is taken for silent after 700 ms. Change: with work, silence counts from the time when it was sent. Test: test_idle_silence_is_not_counted, which fails before.

--- a/src/dispatch/dispatcher_agents.c
+++ b/src/dispatch/dispatcher_agents.c
@@ -235,6 +235,19 @@
 	    "link with the agent ended, %u tasks there", a->tasks->len);
 }
 
+/*
+ * Returns how long an agent with a link has been silent; with tasks, since they
+ * were sent.  An agent without tasks reports too rarely to be judged by the
+ * time before.
+ */
+static int64_t
+silence_of(const struct mlk_dispatcher *d, const struct agent *a)
+{
+	return (d->now -
+	    (a->tasks->len > 0 ? MAX(a->last_recv, a->busy_since) :
+				 a->last_recv));
+}
+
 /*
  * Sends PING, times out silent agents, and counts detached tasks as lost when
  * their runs have certainly ended.
@@ -254,12 +267,12 @@
 			continue;
 		busy = a->tasks->len > 0;
 		if (d->now >= d->paused_until &&
-		    d->now - a->last_recv >= (busy ? AGENT_TIMEOUT_BUSY_NS :
-						     AGENT_TIMEOUT_IDLE_NS)) {
+		    silence_of(d, a) >= (busy ? AGENT_TIMEOUT_BUSY_NS :
+						AGENT_TIMEOUT_IDLE_NS)) {
 			d->counters.links_silent++;
 			dispatch_log(d, MLK_LOG_NOTICE, NULL, a->id,
 			    "agent silent for %" PRId64 " ms",
-			    (d->now - a->last_recv) / MS);
+			    silence_of(d, a) / MS);
 			dispatch_close(d, a->link);
 			dispatch_agent_down(d, a);
 		} else if (d->now - a->last_sent >=
--- a/src/dispatch/dispatcher_place.c
+++ b/src/dispatch/dispatcher_place.c
@@ -216,6 +216,8 @@
 	gconstpointer data;
 	gsize len;
 
+	if (a->tasks->len == 0)
+		a->busy_since = d->now;
 	msg = dispatch_send(d, a->link, MLK_MSG_RUN);
 	data = g_bytes_get_data(job->spec, &len);
 	if (mlk_blob_copy(&msg->u.run.spec, data, len) != 0)
--- a/src/dispatch/dispatcher_priv.h
+++ b/src/dispatch/dispatcher_priv.h
@@ -112,6 +112,7 @@
 	GArray *unacked; /* struct unacked, oldest first */
 	uint64_t seq; /* of the last RUN sent on this link */
 	int64_t last_recv;
+	int64_t busy_since; /* when the first of its present tasks was sent */
 	int64_t last_sent;
 	uint64_t echo; /* sent_at of its last message, for the next PING */
 	GPtrArray *tasks; /* in flight at this agent, or detached */
--- a/test/test_dispatcher.c
+++ b/test/test_dispatcher.c
@@ -280,6 +280,32 @@
 	assert_int_equal(mlk_dispatch_counters(b->d)->tasks_sent, 1);
 }
 
+/*
+ * Guards against a link that is closed, and its runs started elsewhere, as soon
+ * as work is sent to an idle agent: an idle agent reports once a second, which
+ * is longer than the silence allowed while it has work.
+ */
+static void
+test_idle_silence_is_not_counted(void **state)
+{
+	struct dispatch_bench *b = *state;
+	struct bench_agent a, c;
+	int i;
+
+	bench_attach(b, &a, "agent-1", "dc-a", CPU);
+	bench_advance(b, 950);
+	(void)bench_submit(b, "job", 1, 6000, 5000);
+	assert_int_equal(bench_sent_tasks(b, &a), 1);
+	bench_attach(b, &c, "agent-2", "dc-a", CPU);
+	for (i = 0; i < SHORT_SILENCE_MS / 10; i++) {
+		bench_advance(b, 10);
+		assert_int_equal(bench_sent_tasks(b, &c), 0);
+	}
+	assert_int_equal(mlk_dispatch_counters(b->d)->links_silent, 0);
+	bench_advance(b, 100);
+	assert_int_equal(mlk_dispatch_counters(b->d)->links_silent, 1);
+}
+
 /* Guards against runs that continue after their caller has disconnected. */
 static void
 test_caller_left(void **state)
@@ -758,6 +784,7 @@
 		TEST(test_attach_ends_lease_wait),
 		TEST(test_duplicate_agent_id),
 		TEST(test_short_silence_moves_nothing),
+		TEST(test_idle_silence_is_not_counted),
 		TEST(test_caller_left),
 		TEST(test_same_id_joins),
 		TEST(test_job_placed_on_one_worker),
