test: buffers that hold any index in test_sched

Cause: a Debug build without sanitizers stopped at a format-truncation error. Change: 16 bytes for the names. Result: the 22 unit test programs build and pass with -fsigned-char and -funsigned-char (arm64, Debug).

--- a/test/test_sched.c
+++ b/test/test_sched.c
@@ -30,7 +30,7 @@
 		.policy = policy, .seed = 1, .max_queued = 100000, .dc = "dc0"
 	};
 	struct mlk_sched *s = mlk_sched_create(&opt);
-	char dc[8], id[8];
+	char dc[16], id[16];
 	uint32_t a;
 
 	for (a = 0; a < nagents; a++) {
