--- a/include/monsoonlock/dispatch.h
+++ b/include/monsoonlock/dispatch.h
@@ -37,13 +37,13 @@
 
 /* ---- table watch --------------------------------------------------------- */
 
+#define MLK_WATCH_KEY_MAX 201 /* key of a row, including NUL */
+
 /*
  * Follows a table of the store: reads it whole, then asks for the changes since
  * that version, and reads it again when the store no longer has them.  Failed
  * calls are repeated after an increasing delay.
  */
-#define MLK_WATCH_KEY_MAX 201 /* key of a row, including NUL */
-
 struct mlk_watch {
 	bool calling;
 	bool following; /* the table was read; only changes since `version` are
--- a/src/dispatch/dispatcher_jobs.c
+++ b/src/dispatch/dispatcher_jobs.c
@@ -483,6 +483,16 @@
 	    outcome == MLK_WORK_REFUSED ? dispatch_retry_after_ms(d, job) : 0);
 }
 
+/*
+ * Returns the latest start that gives a late but useful result, for a job whose
+ * start_by refers to its goal.
+ */
+static int64_t
+last_useful_start(const struct job *job)
+{
+	return (job->start_by + job->goal_ns * (USEFUL_GOALS - 1));
+}
+
 /*
  * Tells whether a job of which nothing has started should be refused: its
  * result would come too late to be useful, or it has used half of its deadline.
@@ -495,7 +505,7 @@
 
 	if (job->ran || job->nsent > 0)
 		return (false);
-	useful = job->start_by + job->goal_ns * (USEFUL_GOALS - 1);
+	useful = last_useful_start(job);
 	half = job->arrived + (job->deadline - job->arrived) / 2;
 	return (d->now >= MIN(useful, half));
 }
@@ -512,16 +522,12 @@
 static void
 extend_begun(struct mlk_dispatcher *d, struct job *job)
 {
-	int64_t work;
-
 	if (job->extended || !job->ran || job->nqueued == 0 ||
 	    job->start_by >= d->now ||
 	    job->nleft * REMAINDER_DIVISOR > job->ntasks)
 		return;
-	work = job->arrived + job->goal_ns - job->start_by;
 	job->extended = true;
-	dispatch_requeue(
-	    d, job, job->arrived + job->goal_ns * USEFUL_GOALS - work);
+	dispatch_requeue(d, job, last_useful_start(job));
 }
 
 /*
--- a/src/dispatch/dispatcher_links.c
+++ b/src/dispatch/dispatcher_links.c
@@ -43,6 +43,10 @@
 	(void)g_hash_table_remove(d->links, GUINT_TO_POINTER(link));
 }
 
+/*
+ * Counts and logs an address that is not used.  Addresses come from other
+ * processes and from the store, where any writer may have left them.
+ */
 static struct peer *
 ignore_address(struct mlk_dispatcher *d, const char *addr, const char *cause)
 {
--- a/src/dispatch/runner_links.c
+++ b/src/dispatch/runner_links.c
@@ -24,6 +24,10 @@
 	return ((uint64_t)(r->now / MS));
 }
 
+/*
+ * Counts and logs an address that is not used.  Addresses come from other
+ * processes and from the store, where any writer may have left them.
+ */
 static struct entry *
 ignore_address(struct mlk_runner *r, const char *addr, const char *cause)
 {
@@ -159,6 +163,9 @@
 	stop_runs_of(r, e);
 }
 
+/*
+ * Appends the effect that closes a link.
+ */
 static void
 push_close(struct mlk_runner *r, uint32_t link)
 {
--- a/src/dispatch/runner_orders.c
+++ b/src/dispatch/runner_orders.c
@@ -166,6 +166,9 @@
 	    r->worker.fence, cause);
 }
 
+/*
+ * Tells whether another agent gives the orders to the worker at present.
+ */
 bool
 runner_superseded(const struct mlk_runner *r)
 {
--- a/src/dispatch/watch.c
+++ b/src/dispatch/watch.c
@@ -108,6 +108,10 @@
 	}
 }
 
+/*
+ * Continues a read with the page after last_key.  The keys of a table rise from
+ * page to page; one that does not would make the read endless.
+ */
 int
 mlk_watch_page(struct mlk_watch *watch, const char *last_key, uint64_t version,
     int64_t now)
