--- a/src/dispatch/dispatcher_agents.c
+++ b/src/dispatch/dispatcher_agents.c
@@ -98,13 +98,14 @@
 		dispatch_close(d, a->link);
 		dispatch_agent_down(d, a);
 	}
-	if (replaces)
+	if (replaces) {
 		dispatch_log(d, MLK_LOG_WARNING, NULL, a->id,
 		    "another agent attaches under the same id, %u tasks are "
 		    "waited for",
 		    a->tasks->len);
-	else
+	} else {
 		lose_detached(d, a);
+	}
 	link->kind = LINK_AGENT;
 	link->agent = a;
 	a->link = link->link;
--- a/src/dispatch/runner_worker.c
+++ b/src/dispatch/runner_worker.c
@@ -232,10 +232,11 @@
 		runner_runs_lost(r, INT64_MAX,
 		    "the worker does not answer, and every lease has run out");
 	if (r->nactive > 0 && runner_superseded(r) &&
-	    r->now >= w->leases_expired_at)
+	    r->now >= w->leases_expired_at) {
 		runner_runs_lost(r, INT64_MAX,
 		    "another agent has the worker, and every lease has run "
 		    "out");
+	}
 	if (w->left_at != 0 && r->nactive > 0 && r->now - w->left_at >= LEFT_NS)
 		runner_runs_lost(r, INT64_MAX, "the worker has left");
 	/*
--- a/src/dispatch/watch.c
+++ b/src/dispatch/watch.c
@@ -124,7 +124,7 @@
 	}
 	if (watch->last_key[0] == '\0')
 		watch->first_version = version;
-	(void)strcpy(watch->last_key, last_key);
+	memcpy(watch->last_key, last_key, strlen(last_key) + 1);
 	watch->calling = false;
 	watch->failures = 0;
 	watch->delay = 0;
--- a/test/test_runner_links.c
+++ b/test/test_runner_links.c
@@ -76,7 +76,7 @@
 	struct mlk_runner_event ev = { .type = MLK_RUNNER_ENTRIES };
 	char addrs[1][MLK_ADDR_MAX];
 
-	(void)strcpy(addrs[0], addr);
+	(void)snprintf(addrs[0], sizeof(addrs[0]), "%s", addr);
 	ev.u.entries.n = 1;
 	ev.u.entries.addrs = (const char(*)[MLK_ADDR_MAX])addrs;
 	apply(t, &ev);
