runner: detach the start of a run when its stop is sent

Cause: a run is shown active by a listing while its start has no answer; it is stopped, and run->order then names the stop. When the run ended, only that order was detached; the answer or timeout of the start, up to 50 ms later, read the freed run. It can end the agent. Change: the order that run->order names is detached before a stop.

--- a/src/dispatch/runner_orders.c
+++ b/src/dispatch/runner_orders.c
@@ -66,6 +66,11 @@
 {
 	struct mlk_order *order;
 
+	/*
+	 * The start may have no answer yet, if a listing has shown the run.
+	 * Only the order in run->order is detached when the run is freed.
+	 */
+	runner_orders_forget(r, run);
 	order = order_push(r, MLK_ORDER_STOP, run);
 	order->name = run->name;
 	run->order = order->order;
--- a/test/test_runner_fence.c
+++ b/test/test_runner_fence.c
@@ -45,6 +45,8 @@
 	uint64_t announce_seq;
 	int64_t now; /* ms */
 	int64_t run_ended_at; /* at the worker; 0: none has ended */
+	uint64_t silent_start; /* last start without an answer; 0: none */
+	bool starts_silent; /* starts are carried out and not answered */
 };
 
 static void
@@ -126,6 +128,10 @@
 			    pending.order.type == MLK_ORDER_START;
 		}
 		note_worker(t);
+		if (t->starts_silent && pending.order.type == MLK_ORDER_START) {
+			t->silent_start = pending.order.order;
+			continue;
+		}
 		apply(t, pending.agent, &ev);
 	}
 }
@@ -388,6 +394,40 @@
 	assert_int_equal(t->b.starts, 1);
 }
 
+/*
+ * Guards against the use of a run that is freed: its start has no answer, a
+ * listing shows it active, it is stopped and ends, and then the start times
+ * out.
+ */
+static void
+test_start_times_out_after_the_end(void **state)
+{
+	struct bench *t = *state;
+	struct mlk_msg drop = { .type = MLK_MSG_DROP };
+	struct mlk_runner_event late = { .type = MLK_RUNNER_ORDER };
+	struct mlk_runner_gauges gauges;
+
+	t->starts_silent = true;
+	send_run(t, &t->a);
+	assert_int_not_equal(t->silent_start, 0);
+	advance(t, 10 * TICK_MS, NULL);
+	drop.u.drop.sent_at = (uint64_t)t->now;
+	drop.u.drop.job = JOB;
+	deliver(t, &t->a, &drop);
+	advance(t, 30 * TICK_MS, NULL);
+	mlk_runner_gauges(t->a.r, &gauges);
+	assert_int_equal(gauges.running, 0);
+	late.u.order.order = t->silent_start;
+	late.u.order.result = MLK_ORDER_NO_ANSWER;
+	apply(t, &t->a, &late);
+	t->starts_silent = false;
+	advance(t, 30 * TICK_MS, NULL);
+	send_run(t, &t->a);
+	advance(t, 10 * TICK_MS, NULL);
+	mlk_runner_gauges(t->a.r, &gauges);
+	assert_int_equal(gauges.running, 1);
+}
+
 int
 main(void)
 {
@@ -400,6 +440,8 @@
 		    test_takes_over_from_a_dead_agent, setup, teardown),
 		cmocka_unit_test_setup_teardown(
 		    test_departed_worker_is_not_used, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_start_times_out_after_the_end, setup, teardown),
 	};
 
 	return (cmocka_run_group_tests(tests, NULL, NULL));
