--- a/src/app/settings.c
+++ b/src/app/settings.c
@@ -14,7 +14,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include <arpa/inet.h>
 #include <cyaml/cyaml.h>
 
 #include "settings.h"
--- a/src/dispatch/dispatcher_agents.c
+++ b/src/dispatch/dispatcher_agents.c
@@ -236,19 +236,6 @@
 	    "link with the agent ended, %u tasks there", a->tasks->len);
 }
 
-/*
- * Returns how long an agent with a link has been silent; with tasks, since they
- * were sent.  An agent without tasks reports too rarely to be judged by the
- * time before.
- */
-static int64_t
-silence_of(const struct mlk_dispatcher *d, const struct agent *a)
-{
-	return (d->now -
-	    (a->tasks->len > 0 ? MAX(a->last_recv, a->busy_since) :
-				 a->last_recv));
-}
-
 /*
  * Sends PING, times out silent agents, and counts detached tasks as lost when
  * their runs have certainly ended.
@@ -257,6 +244,7 @@
 dispatch_agents_due(struct mlk_dispatcher *d)
 {
 	struct agent *a;
+	int64_t silence;
 	bool busy;
 	guint i;
 
@@ -267,13 +255,15 @@
 		if (a->link == 0)
 			continue;
 		busy = a->tasks->len > 0;
+		/* Idle agents report too rarely for the shorter limit. */
+		silence = d->now -
+		    (busy ? MAX(a->last_recv, a->busy_since) : a->last_recv);
 		if (d->now >= d->paused_until &&
-		    silence_of(d, a) >= (busy ? AGENT_TIMEOUT_BUSY_NS :
-						AGENT_TIMEOUT_IDLE_NS)) {
+		    silence >= (busy ? AGENT_TIMEOUT_BUSY_NS :
+				       AGENT_TIMEOUT_IDLE_NS)) {
 			d->counters.links_silent++;
 			dispatch_log(d, MLK_LOG_NOTICE, NULL, a->id,
-			    "agent silent for %" PRId64 " ms",
-			    silence_of(d, a) / MS);
+			    "agent silent for %" PRId64 " ms", silence / MS);
 			dispatch_close(d, a->link);
 			dispatch_agent_down(d, a);
 		} else if (d->now - a->last_sent >=
--- a/src/dispatch/dispatcher_jobs.c
+++ b/src/dispatch/dispatcher_jobs.c
@@ -520,14 +520,14 @@
  * than a job that has yet to start.
  */
 static void
-extend_begun(struct mlk_dispatcher *d, struct job *job)
+extend_begun(const struct mlk_dispatcher *d, struct job *job)
 {
 	if (job->extended || !job->ran || job->nqueued == 0 ||
 	    job->start_by >= d->now ||
 	    job->nleft * REMAINDER_DIVISOR > job->ntasks)
 		return;
 	job->extended = true;
-	dispatch_requeue(d, job, last_useful_start(job));
+	dispatch_requeue(job, last_useful_start(job));
 }
 
 /*
--- a/src/dispatch/dispatcher_priv.h
+++ b/src/dispatch/dispatcher_priv.h
@@ -292,8 +292,7 @@
 
 /* dispatcher_queue.c */
 void dispatch_enqueue(struct mlk_dispatcher *d, struct task *task);
-void dispatch_requeue(
-    struct mlk_dispatcher *d, struct job *job, int64_t start_by);
+void dispatch_requeue(struct job *job, int64_t start_by);
 void dispatch_dequeue(struct mlk_dispatcher *d, struct task *task);
 void dispatch_walk_begin(struct mlk_dispatcher *d, struct queue_walk *walk);
 struct job *dispatch_walk_next(struct queue_walk *walk);
--- a/src/dispatch/dispatcher_queue.c
+++ b/src/dispatch/dispatcher_queue.c
@@ -68,12 +68,10 @@
  * Moves a queued job to the place that its new latest start gives it.
  */
 void
-dispatch_requeue(struct mlk_dispatcher *d, struct job *job, int64_t start_by)
+dispatch_requeue(struct job *job, int64_t start_by)
 {
 	job->start_by = start_by;
-	if (job->queue_iter != NULL)
-		g_sequence_sort_changed(job->queue_iter, cmp_start_by, NULL);
-	d->place_due = true;
+	g_sequence_sort_changed(job->queue_iter, cmp_start_by, NULL);
 }
 
 /*
--- a/src/dispatch/runner_orders.c
+++ b/src/dispatch/runner_orders.c
@@ -12,6 +12,11 @@
 
 #include "runner_priv.h"
 
+/*
+ * Appends an order; run is NULL if it concerns no run in the table.  An order
+ * that the run still has in flight is detached from it: a listing may show a
+ * run active before its start is answered, and its stop follows then.
+ */
 static struct mlk_order *
 order_push(struct mlk_runner *r, enum mlk_order_type type, struct run *run)
 {
@@ -27,6 +32,10 @@
 	order->run = run;
 	order->fence = r->worker.fence;
 	order->sent_at = r->now;
+	if (run != NULL) {
+		runner_orders_forget(r, run);
+		run->order = order->id;
+	}
 	(void)g_hash_table_insert(r->orders, &order->id, order);
 	fx->u.order.order = order->id;
 	fx->u.order.type = type;
@@ -54,26 +63,24 @@
 		g_error("out of memory");
 	order->lease_until_ms = runner_lease_until(r);
 	run->state = RUN_STARTING;
-	run->order = order->order;
 	run->fence = order->fence;
 	run->sent_at = r->now;
 	run->tries++;
 	r->counters.starts++;
 }
 
+/*
+ * Sends a stop, unless another agent gives the orders.
+ */
 void
 runner_order_stop(struct mlk_runner *r, struct run *run)
 {
 	struct mlk_order *order;
 
-	/*
-	 * The start may have no answer yet, if a listing has shown the run.
-	 * Only the order in run->order is detached when the run is freed.
-	 */
-	runner_orders_forget(r, run);
+	if (runner_superseded(r))
+		return;
 	order = order_push(r, MLK_ORDER_STOP, run);
 	order->name = run->name;
-	run->order = order->order;
 	run->stop_sent_at = r->now;
 	r->counters.stops++;
 }
--- a/src/dispatch/runner_priv.h
+++ b/src/dispatch/runner_priv.h
@@ -120,8 +120,8 @@
 	char addr[MLK_ADDR_MAX];
 	bool configured; /* from the settings: never forgotten */
 	uint32_t connect; /* id of the connection attempt; 0: none */
+	int64_t connect_at; /* time of the last attempt */
 	uint32_t link; /* 0: none */
-	int64_t connect_at; /* time of that attempt */
 	bool attached; /* ATTACH was sent on this link */
 	int64_t retry_at;
 	int64_t retry_ns;
--- a/src/dispatch/runner_runs.c
+++ b/src/dispatch/runner_runs.c
@@ -189,8 +189,7 @@
 	case RUN_ACTIVE:
 		request_stop(r, run, end);
 		run->state = RUN_STOPPING;
-		if (!runner_superseded(r))
-			runner_order_stop(r, run);
+		runner_order_stop(r, run);
 		return;
 	case RUN_STOPPING:
 		return;
@@ -238,7 +237,6 @@
 		if (r->now >= run->deadline)
 			runner_run_stop(r, run, MLK_RUN_STOPPED);
 		else if (run->state == RUN_STOPPING && run->order == 0 &&
-		    !runner_superseded(r) &&
 		    r->now - run->stop_sent_at >= STOP_RETRY_NS)
 			runner_order_stop(r, run);
 	}
--- a/test/test_runner_fence.c
+++ b/test/test_runner_fence.c
@@ -238,6 +238,7 @@
 	assert_true(a->attached);
 	ping(t, a);
 }
+
 /*
  * The entry sends one task of a long run.
  */
