--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -448,7 +448,8 @@
 
 
 class Rig:
-    def __init__(self, folder, entries=2, workers=3, cpu=64000):
+    def __init__(self, folder, entries=2, workers=3, cpu=64000, names="entry-{}",
+                 first=1, stale_seeds=False):
         self.folder = folder
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
         self.begin = time.monotonic()
@@ -456,6 +457,7 @@
         self.runs = []
         self.jobs = []
         self.n = (entries, workers, cpu)
+        self.names, self.first, self.stale_seeds = names, first, stale_seeds
         self.next_id = random.getrandbits(32)
         self.tasks = []
         self.processes = []
@@ -483,13 +485,15 @@
                 "platform": {"address": self.store.server.addr}, "zone": "uusimaa-kallio"}
         ips = [f"127.0.30.{i + 1}" for i in range(n_entries)]
         link_port = free_port(ips[0])
-        seeds = [f"{ip}:1" for ip in ips[:3]]
+        # links.port takes the place of the port in a seed.
+        seeds = ["127.0.60.1:1" if self.stale_seeds else f"{ip}:1" for ip in ips[:3]]
         for i, ip in enumerate(ips):
-            values = {**base, "node": f"entry-{i + 1}", "ip": ip, "seeds": seeds,
+            name = self.names.format(self.first + i)
+            values = {**base, "node": name, "ip": ip, "seeds": seeds,
                       "internal_ports": [link_port, free_port(ip)],
                       "listen": {"front": f"{ip}:{free_port(ip)}",
                                  "ready": f"{ip}:{free_port(ip)}"}}
-            entry = Process(self, "entry", f"entry-{i + 1}", values)
+            entry = Process(self, "entry", name, values)
             entry.front = values["listen"]["front"]
             entry.ready = values["listen"]["ready"]
             entry.metrics = f"{ip}:{values['internal_ports'][1]}"
