--- a/review/1/scenario.py
+++ b/review/1/scenario.py
@@ -7,7 +7,8 @@
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "rig"))
-from rig import HOST, PREFIX, RESEND_MS, free_port, main, read_message  # noqa: E402
+from rig import (  # noqa: E402
+    HOST, PREFIX, RESEND_MS, address, free_port, main, read_message)
 
 ROUNDS = 3
 CUT_S = 2.9  # node_cut of lindqvist-hire lasts up to 5.5 s
@@ -25,7 +26,7 @@
         self.whole.set()
 
     async def open(self):
-        ip = "127.0.40.1"
+        ip = address(40, 1)
         port = free_port(ip)
         self.server = await asyncio.start_server(self.serve, ip, port)
         self.addr = (ip, port)
--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -41,10 +41,26 @@
     """The environment does not allow the case to run: exit status 2."""
 
 
-def free_port(ip):
-    with socket.socket() as s:
-        s.bind((ip, 0))
-        return s.getsockname()[1]
+# Addresses of this run, so that scripts may run side by side.
+NET = random.randint(16, 239)
+PORTS = iter(random.sample(range(10000, 32000), 20000))  # below the ephemeral ports
+
+
+def address(group, number):
+    return f"127.{NET}.{group}.{number}"
+
+
+def free_port(*ips):
+    """A port that is free at all these addresses; none is returned twice."""
+    for port in PORTS:
+        try:
+            for ip in ips:
+                with socket.socket() as s:
+                    s.bind((ip, port))
+            return port
+        except OSError:
+            continue
+    raise CannotRun("no free port")
 
 
 async def read_message(reader):
@@ -147,7 +163,7 @@
         self.ver = 0
         self.rows = {}  # (table, key) -> (ver, value or None)
         self.changed = asyncio.Event()
-        self.server = Server("127.0.10.1", self.handle)
+        self.server = Server(address(10, 1), self.handle)
 
     def put(self, table, key, value):
         self.ver += 1
@@ -216,7 +232,7 @@
         self.number = number
         self.id = f"i-{number:08x}"
         self.cpu = cpu
-        self.server = Server(f"127.0.20.{number}", self.handle)
+        self.server = Server(address(20, number), self.handle)
         self.control = ""  # of the agent
         self.agent = None
         self.up = False
@@ -483,10 +499,10 @@
         base = {"bounds": {"grace_s": GRACE_S, "hold_max_ms": HOLD_MAX_MS,
                            "resend_ms": RESEND_MS},
                 "platform": {"address": self.store.server.addr}, "zone": "uusimaa-kallio"}
-        ips = [f"127.0.30.{i + 1}" for i in range(n_entries)]
-        link_port = free_port(ips[0])
+        ips = [address(30, i + 1) for i in range(n_entries)]
+        link_port = free_port(*ips)
         # links.port takes the place of the port in a seed.
-        seeds = ["127.0.60.1:1" if self.stale_seeds else f"{ip}:1" for ip in ips[:3]]
+        seeds = [address(60, 1) + ":1" if self.stale_seeds else f"{ip}:1" for ip in ips[:3]]
         for i, ip in enumerate(ips):
             name = self.names.format(self.first + i)
             values = {**base, "node": name, "ip": ip, "seeds": seeds,
