net, dispatch: drop a request whose caller has disconnected

Cause: HTTP does not tell when a request was sent, and the entry took each one for fresh. When the partition healed, its tasks were placed before the end of the stream behind it was noticed.

The log of the entry says "caller left after 12 ms, 4 tasks at work", then 25 and 39 ms. A trial build that polled the socket when the request was read saw the end of the stream in two of three requests, and not yet in the third, so a check at that moment would not have been enough.

Change: a request was sent after the previous reply on its connection. If it may be older than resend_ms less 100 ms by that bound, the server holds it for 20 ms and passes it on only if the client is still connected. A younger one with side effects is checked when it is read. Works because TCP sends the held-up end of a stream one round trip after the request before it, and because a caller that gave up later than that bound sends its job again only after the run's deadline.

--- a/include/monsoonlock/dispatch.h
+++ b/include/monsoonlock/dispatch.h
@@ -364,6 +364,7 @@
 			const char *host;
 			const char *path;
 			uint32_t deadline_ms; /* 0: timeout of the route */
+			int64_t held; /* ns since the request arrived */
 			const struct mlk_work *work;
 		} submit;
 		struct {
--- a/include/monsoonlock/net.h
+++ b/include/monsoonlock/net.h
@@ -20,6 +20,11 @@
 	MLK_NET_LINK_DOWN, /* also a failed connect, then link is 0 */
 	MLK_NET_MSG, /* decoded; cleared by the loop after return */
 	MLK_NET_HTTP_REQUEST, /* complete request; valid until return */
+	/*
+	 * A request that is not passed on, because its client disconnected
+	 * first; see http_confirm_after_ms.  It cannot be answered.
+	 */
+	MLK_NET_HTTP_DROPPED,
 	MLK_NET_HTTP_GONE, /* the client disconnected before the reply */
 	MLK_NET_HTTP_RESPONSE, /* result of mlk_loop_http_call() */
 	MLK_NET_TICK,
@@ -44,6 +49,7 @@
 	uint16_t port; /* of the listener that accepted the connection */
 	const uint8_t *body;
 	size_t body_len;
+	int64_t held; /* ns that it was held; see http_confirm_after_ms */
 };
 
 struct mlk_net_event {
@@ -86,6 +92,13 @@
 	uint32_t http_header_timeout_s; /* limit for a whole header,
 					   then for each part of a body */
 	uint32_t http_max_connections;
+	/*
+	 * A network partition can delay a request until long after its client
+	 * has given up.  A request with side effects (not GET or HEAD) that may
+	 * be this old is passed on only if the client is still connected 20 ms
+	 * later.  0: all requests are passed on at once.
+	 */
+	uint32_t http_confirm_after_ms;
 	const char *tls_cert; /* PEM paths; both NULL: plain HTTP */
 	const char *tls_key;
 	const char *tls_ca; /* for outgoing HTTPS; NULL: the system's CAs */
--- a/src/dispatch/dispatcher_jobs.c
+++ b/src/dispatch/dispatcher_jobs.c
@@ -297,11 +297,11 @@
 	(void)g_strlcpy(job->route, route->name, sizeof(job->route));
 	job->priority = route->priority;
 	job->attempts = MAX(route->attempts, 1);
-	job->arrived = d->now;
+	job->arrived = d->now - ev->u.submit.held;
 	deadline_ms = ev->u.submit.deadline_ms != 0 ? ev->u.submit.deadline_ms :
 						      route->timeout_ms;
 	/* The request may have waited unread for the whole pause. */
-	job->deadline = d->now + deadline_ms * MS - d->pause;
+	job->deadline = job->arrived + deadline_ms * MS - d->pause;
 	job->spec = g_bytes_new(work->spec, work->spec_len);
 	job->nsteps = work->nsteps;
 	job->steps =
--- a/src/dispatch/dispatcher_parked.c
+++ b/src/dispatch/dispatcher_parked.c
@@ -37,7 +37,7 @@
 	p = g_new0(struct parked, 1);
 	p->request = ev->u.submit.request;
 	p->deadline_ms = ev->u.submit.deadline_ms;
-	p->arrived = d->now;
+	p->arrived = d->now - ev->u.submit.held;
 	(void)g_strlcpy(
 	    p->request_id, ev->u.submit.request_id, sizeof(p->request_id));
 	(void)g_strlcpy(p->host, ev->u.submit.host, sizeof(p->host));
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -2,8 +2,14 @@
  * HTTP/1.1 server.  A request is passed to the program when its body is
  * complete, with a handle of its own.  A reply is sent only while that handle
  * is valid, so that a late reply cannot answer another request.
+ *
+ * HTTP tells neither when a request was sent nor whether its client still waits
+ * for it.  What is known is that it was sent after the previous reply on its
+ * connection.  A request that may be old by this bound is held for CONFIRM_MS
+ * and passed on if the client is still connected then.
  */
 #define _GNU_SOURCE /* POLLRDHUP */
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -20,6 +26,12 @@
  */
 #define DISCARD_FACTOR 8U
 #define HEADER_VALUE_MAX 4096
+/*
+ * The end of a stream that a partition has held up arrives up to one round trip
+ * after the request before it, since TCP sends it when that is acknowledged.
+ * Callers are up to 4 ms away; the rest allows for proxies between them.
+ */
+#define CONFIRM_MS 20
 
 struct http_conn {
 	struct mlk_loop *loop;
@@ -28,6 +40,9 @@
 	bool busy; /* from the header to the end of the reply */
 	bool head; /* HEAD: reply without body */
 	bool close_after;
+	bool confirming; /* its request is held, see CONFIRM_MS */
+	int64_t received; /* its request was complete; loop clock, ns */
+	int64_t idle_since; /* accepted, or last reply written; loop clock */
 	int reject_status; /* error status to send after the body; 0: none */
 	const char *method;
 	char *path;
@@ -59,6 +74,16 @@
 	}
 }
 
+/*
+ * Tells whether a request has no side effects (RFC 9110, safe methods).
+ */
+static bool
+is_safe(const struct http_conn *c)
+{
+	return (
+	    strcmp(c->method, "GET") == 0 || strcmp(c->method, "HEAD") == 0);
+}
+
 static const char *
 status_text(int status)
 {
@@ -126,6 +151,7 @@
 	c->reject_status = 0;
 	c->busy = false;
 	c->close_after = false;
+	c->confirming = false;
 }
 
 /*
@@ -139,7 +165,7 @@
 	struct mlk_loop *loop = c->loop;
 
 	lws_set_opaque_user_data(c->wsi, NULL);
-	ev.u.gone.request = c->request;
+	ev.u.gone.request = c->confirming ? 0 : c->request;
 	if (c->reply != NULL)
 		loop->http_pending--;
 	if (c->request != 0)
@@ -212,12 +238,88 @@
 }
 
 /*
- * Passes a complete request to the application.
+ * Reports a complete request in an event of the given type.
+ */
+static void
+emit_request(struct http_conn *c, enum mlk_net_event_type type)
+{
+	struct mlk_net_event ev = { .type = type };
+
+	ev.u.http.request = c->request;
+	ev.u.http.method = c->method;
+	ev.u.http.path = c->path;
+	ev.u.http.query = c->query;
+	ev.u.http.authorization = c->authorization;
+	ev.u.http.host = c->host;
+	ev.u.http.port = c->port;
+	ev.u.http.body = c->body->data;
+	ev.u.http.body_len = c->body->len;
+	ev.u.http.held = mlk_clock_now(c->loop->options.clock) - c->received;
+	mlk_net_emit(c->loop, &ev);
+}
+
+/*
+ * Passes a request to the application.
+ */
+static int
+pass_on(struct http_conn *c)
+{
+	g_ptr_array_add(c->loop->unanswered, c);
+	emit_request(c, MLK_NET_HTTP_REQUEST);
+	return (0);
+}
+
+/*
+ * Tells whether the client has disconnected or shut down its sending side.
+ */
+static bool
+is_disconnected(const struct http_conn *c)
+{
+	struct pollfd fd = { .events = POLLRDHUP };
+
+	fd.fd = lws_get_socket_fd(c->wsi);
+	return (poll(&fd, 1, 0) > 0);
+}
+
+/*
+ * Passes a request to the application if the client is still connected.
+ * Returns -1 to close the connection if it is not.
+ */
+static int
+pass_on_connected(struct http_conn *c)
+{
+	if (!is_disconnected(c))
+		return (pass_on(c));
+	emit_request(c, MLK_NET_HTTP_DROPPED);
+	mlk_table_remove(&c->loop->requests, c->request);
+	c->request = 0;
+	return (-1);
+}
+
+/*
+ * Holds a request until it is known whether its client is still connected.  An
+ * immediate acknowledgement lets the client's TCP send the end of its stream.
+ */
+static int
+confirm_client(struct http_conn *c)
+{
+	int on = 1;
+
+	(void)setsockopt(lws_get_socket_fd(c->wsi), IPPROTO_TCP, TCP_QUICKACK,
+	    &on, sizeof(on));
+	c->confirming = true;
+	lws_set_timer_usecs(c->wsi, (lws_usec_t)CONFIRM_MS * LWS_US_PER_MS);
+	return (0);
+}
+
+/*
+ * Handles a complete request: rejects it, passes it to the application or holds
+ * it until the client is confirmed.
  */
 static int
 deliver(struct http_conn *c)
 {
-	struct mlk_net_event ev = { .type = MLK_NET_HTTP_REQUEST };
+	const struct mlk_loop_options *options = &c->loop->options;
 
 	lws_set_timeout(c->wsi, NO_PENDING_TIMEOUT, 0);
 	lws_set_timer_usecs(c->wsi, LWS_SET_TIMER_USEC_CANCEL);
@@ -236,18 +338,13 @@
 	 * turned off, and mlk_net_http_reap() finds closed clients.
 	 */
 	(void)lws_rx_flow_control(c->wsi, 0);
-	g_ptr_array_add(c->loop->unanswered, c);
-	ev.u.http.request = c->request;
-	ev.u.http.method = c->method;
-	ev.u.http.path = c->path;
-	ev.u.http.query = c->query;
-	ev.u.http.authorization = c->authorization;
-	ev.u.http.host = c->host;
-	ev.u.http.port = c->port;
-	ev.u.http.body = c->body->data;
-	ev.u.http.body_len = c->body->len;
-	mlk_net_emit(c->loop, &ev);
-	return (0);
+	c->received = mlk_clock_now(options->clock);
+	if (options->http_confirm_after_ms == 0 || is_safe(c))
+		return (pass_on(c));
+	if (c->received - c->idle_since >=
+	    (int64_t)options->http_confirm_after_ms * MLK_NSEC_PER_MSEC)
+		return (confirm_client(c));
+	return (pass_on_connected(c));
 }
 
 /*
@@ -348,6 +445,7 @@
 {
 	bool close_after = c->close_after;
 
+	c->idle_since = mlk_clock_now(c->loop->options.clock);
 	c->loop->http_pending--;
 	request_reset(c);
 	if (close_after || lws_http_transaction_completed(c->wsi) != 0)
@@ -413,6 +511,20 @@
 	g_free(fds);
 }
 
+/*
+ * Handles the timer of a connection: a held request is to be passed on, or a
+ * header or body was not received in time.
+ */
+static int
+on_timer(struct http_conn *c)
+{
+	if (c->confirming) {
+		c->confirming = false;
+		return (pass_on_connected(c));
+	}
+	return (c->request != 0 || c->reply != NULL ? 0 : -1);
+}
+
 static int
 http_callback(struct lws *wsi, enum lws_callback_reasons reason, void *user,
     void *in, size_t len)
@@ -434,8 +546,8 @@
 		return (0);
 	case LWS_CALLBACK_HTTP_WRITEABLE:
 		return (write_reply(c));
-	case LWS_CALLBACK_TIMER: /* header or body not received in time */
-		return (c->request != 0 || c->reply != NULL ? 0 : -1);
+	case LWS_CALLBACK_TIMER:
+		return (on_timer(c));
 	case LWS_CALLBACK_CLOSED_HTTP:
 	case LWS_CALLBACK_WSI_DESTROY:
 		conn_closed(c);
@@ -508,6 +620,7 @@
 	c->loop = loop;
 	c->wsi = wsi;
 	c->port = port;
+	c->idle_since = mlk_clock_now(loop->options.clock);
 	loop->http_connections++;
 	lws_set_opaque_user_data(wsi, c);
 	start_timer(c);
--- a/src/run/run_event.c
+++ b/src/run/run_event.c
@@ -38,6 +38,7 @@
 		ev->type = MLK_EV_STOP;
 		return (true);
 	case MLK_NET_HTTP_REQUEST:
+	case MLK_NET_HTTP_DROPPED:
 	case MLK_NET_HTTP_GONE:
 	case MLK_NET_HTTP_RESPONSE:
 	case MLK_NET_RELOAD:
--- a/standin/endpoint.c
+++ b/standin/endpoint.c
@@ -333,6 +333,8 @@
 	case MLK_NET_HTTP_REQUEST:
 		http_request(e, &ev->u.http);
 		break;
+	case MLK_NET_HTTP_DROPPED:
+		break;
 	case MLK_NET_HTTP_GONE:
 		request_closed(e, ev->u.gone.request);
 		break;
--- a/test/dispatch_bench.c
+++ b/test/dispatch_bench.c
@@ -210,6 +210,7 @@
 	ev.u.submit.host = BENCH_HOST;
 	ev.u.submit.path = BENCH_PREFIX "0123456789abcdef";
 	ev.u.submit.deadline_ms = deadline_ms;
+	ev.u.submit.held = b->held;
 	ev.u.submit.work = &work;
 	bench_apply(b, &ev);
 	return (b->last_request);
--- a/test/dispatch_bench.h
+++ b/test/dispatch_bench.h
@@ -39,6 +39,7 @@
 	uint32_t last_link;
 	uint64_t last_request;
 	uint32_t estimate_ms; /* run time given with the submitted jobs */
+	int64_t held; /* likewise: ns since their requests arrived */
 	bool exited;
 	uint32_t last_connect; /* last outgoing connection of the entry */
 	uint64_t peers_sent; /* items of all PEERS messages sent */
--- a/test/test_dispatcher.c
+++ b/test/test_dispatcher.c
@@ -602,6 +602,29 @@
 	expect_answer(b, request, MLK_WORK_REFUSED);
 }
 
+/*
+ * Guards against a deadline that is counted from the submission of a request
+ * that the server has held, and not from its arrival.
+ */
+static void
+test_held_time_counts(void **state)
+{
+	struct dispatch_bench *b = *state;
+	struct bench_agent a;
+	uint64_t request;
+
+	bench_attach(b, &a, "agent-1", "dc-a", CPU);
+	a.free.cpu = 0;
+	bench_report_worker(b, &a, MLK_WORKER_READY);
+	b->held = 80 * BENCH_MS;
+	/* Refused when half of its deadline has passed. */
+	request = bench_submit(b, "job", 1, 6000, 300);
+	bench_advance(b, 60);
+	assert_null(bench_answer_to(b, request));
+	bench_advance(b, 40);
+	expect_answer(b, request, MLK_WORK_REFUSED);
+}
+
 /*
  * Guards against a drain rate that is measured while nothing is queued: after
  * 3 s without callers it would be close to 0, and the next refused caller would
@@ -799,6 +822,7 @@
 		TEST(test_late_job_yields),
 		TEST(test_nearly_done_job_is_finished),
 		TEST(test_long_waiting_job_is_refused),
+		TEST(test_held_time_counts),
 		TEST(test_drain_rate_ignores_idle_time),
 		TEST(test_new_peers_are_sent_once),
 		TEST(test_full_peer_list_is_repeated),
--- a/test/test_net.c
+++ b/test/test_net.c
@@ -30,6 +30,8 @@
 #define CALLS 2000
 #define NEW_CONN_CALLS 300
 #define CALL_SLOTS 16
+#define CONFIRM_AFTER_MS 200 /* in the tests of old requests */
+#define HOLD_NS (20 * MLK_NSEC_PER_MSEC) /* as net.h documents */
 #define CPU_TEST_TICKS 200 /* length of test_wait_before_tick() */
 
 static struct mlk_loop *loop;
@@ -40,7 +42,7 @@
 static uint32_t link_out, link_in; /* the two ends of the latest link */
 /* Numbers of events. */
 static uint32_t links_up, links_down, ticks, stop_signals, clients_gone,
-    requests, responses;
+    clients_dropped, requests, responses;
 static uint64_t unanswered[CALL_SLOTS]; /* request handles */
 /* Responses, by call id modulo CALL_SLOTS. */
 static enum mlk_http_result results[CALL_SLOTS];
@@ -107,6 +109,9 @@
 		reply_echo(&ev->u.http);
 		requests++;
 		break;
+	case MLK_NET_HTTP_DROPPED:
+		clients_dropped++;
+		break;
 	case MLK_NET_HTTP_GONE:
 		clients_gone++;
 		break;
@@ -161,7 +166,7 @@
 }
 
 static int
-create_loop(const char *cert, const char *key)
+create_loop(const char *cert, const char *key, uint32_t confirm_after_ms)
 {
 	struct mlk_loop_options o = { .handle = handle };
 	struct mlk_error err;
@@ -171,11 +176,12 @@
 	o.http_body_max = BODY_MAX;
 	o.http_header_timeout_s = HEADER_TIMEOUT_S;
 	o.http_max_connections = 64;
+	o.http_confirm_after_ms = confirm_after_ms;
 	o.tls_cert = cert;
 	o.tls_key = key;
 	o.tls_ca = cert;
-	links_up = links_down = ticks = stop_signals = clients_gone = requests =
-	    responses = 0;
+	links_up = links_down = ticks = stop_signals = clients_gone =
+	    clients_dropped = requests = responses = 0;
 	reply_at_once = true;
 	memset(unanswered, 0, sizeof(unanswered));
 	loop = mlk_loop_create(&o, &err);
@@ -193,7 +199,7 @@
 setup(void **state)
 {
 	(void)state;
-	return (create_loop(NULL, NULL));
+	return (create_loop(NULL, NULL, 0));
 }
 
 static int
@@ -201,7 +207,17 @@
 {
 	(void)state;
 	return (create_loop(
-	    MLK_TEST_DATA "/tls_cert.pem", MLK_TEST_DATA "/tls_key.pem"));
+	    MLK_TEST_DATA "/tls_cert.pem", MLK_TEST_DATA "/tls_key.pem", 0));
+}
+
+/*
+ * A server that confirms the clients of old requests.
+ */
+static int
+setup_confirm(void **state)
+{
+	(void)state;
+	return (create_loop(NULL, NULL, CONFIRM_AFTER_MS));
 }
 
 static int
@@ -571,6 +587,116 @@
 	(void)close(fd);
 }
 
+static const char old_request[] =
+    "POST /hold HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nab";
+
+/*
+ * Returns a connection that has been idle for longer than CONFIRM_AFTER_MS.
+ */
+static int
+connect_idle(void)
+{
+	char reply[256];
+	int fd;
+
+	fd = connect_raw("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+	run_until(&requests, 1);
+	run_ticks(CONFIRM_AFTER_MS * 3 / 2 / TICK_MS);
+	assert_true(recv(fd, reply, sizeof(reply), MSG_DONTWAIT) > 0);
+	return (fd);
+}
+
+/*
+ * Guards against a request that is passed on although a partition delayed it
+ * until after its client gave up; the end of the stream follows a round trip
+ * later.
+ */
+static void
+test_delayed_request_dropped(void **state)
+{
+	int fd;
+
+	(void)state;
+	fd = connect_idle();
+	assert_int_equal(
+	    send(fd, old_request, strlen(old_request), MSG_NOSIGNAL),
+	    strlen(old_request));
+	run_ticks(1);
+	(void)close(fd);
+	run_until(&clients_dropped, 1);
+	run_ticks(5);
+	assert_int_equal(requests, 1);
+	assert_int_equal(clients_gone, 0);
+	assert_int_equal(mlk_loop_http_pending(loop), 0);
+}
+
+/*
+ * Guards against a request that is passed on although its client disconnected
+ * while it waited to be read, also when it is the first of its connection.
+ */
+static void
+test_closed_before_read(void **state)
+{
+	int fd;
+
+	(void)state;
+	fd = connect_raw(old_request);
+	(void)close(fd);
+	run_until(&clients_dropped, 1);
+	run_ticks(5);
+	assert_int_equal(requests, 0);
+	assert_int_equal(clients_gone, 0);
+}
+
+/*
+ * Sends a request on an open connection and answers it.  Returns the time in ns
+ * until it was passed on.
+ */
+static int64_t
+exchange(int fd)
+{
+	uint32_t n = requests;
+	char reply[256];
+	int64_t sent = now(), passed_on;
+
+	assert_int_equal(
+	    send(fd, old_request, strlen(old_request), MSG_NOSIGNAL),
+	    strlen(old_request));
+	run_until(&requests, n + 1);
+	passed_on = now();
+	assert_int_equal(mlk_loop_http_reply(loop, unanswered[n % CALL_SLOTS],
+			     200, "text/plain", 0, "late", 4),
+	    0);
+	run_ticks(2);
+	assert_true(recv(fd, reply, sizeof(reply), MSG_DONTWAIT) > 0);
+	return (passed_on - sent);
+}
+
+/*
+ * Guards against a held request that is lost or passed on twice, and against
+ * one that is held although it cannot be old.
+ */
+static void
+test_held_request_passed_on(void **state)
+{
+	int64_t took, shortest = INT64_MAX;
+	int fd, i;
+
+	(void)state;
+	fd = connect_idle();
+	assert_true(exchange(fd) >= HOLD_NS);
+	for (i = 0; i < 5; i++) {
+		took = exchange(fd);
+		if (took < shortest)
+			shortest = took;
+	}
+	assert_true(shortest < HOLD_NS);
+	run_ticks(5);
+	assert_int_equal(requests, 7);
+	assert_int_equal(clients_dropped, 0);
+	(void)close(fd);
+}
+
 /*
  * Guards against a failed call with the wrong result.  A call that its lane did
  * not start in time, or whose port refuses it, was not sent; one without a
@@ -1142,6 +1268,8 @@
 }
 
 #define NET_TEST(f) cmocka_unit_test_setup_teardown(f, setup, teardown)
+#define CONFIRM_TEST(f) \
+	cmocka_unit_test_setup_teardown(f, setup_confirm, teardown)
 
 /*
  * The argument "keepalive" runs only test_lane_keepalive(); any other selects
@@ -1165,6 +1293,9 @@
 		NET_TEST(test_slow_header),
 		NET_TEST(test_client_gone),
 		NET_TEST(test_half_closed),
+		CONFIRM_TEST(test_delayed_request_dropped),
+		CONFIRM_TEST(test_closed_before_read),
+		CONFIRM_TEST(test_held_request_passed_on),
 		NET_TEST(test_call_results),
 		NET_TEST(test_slow_response),
 		NET_TEST(test_slow_body),
