dispatch: use an announced identity only once the worker confirms it

Cause: an announcement with a later boot replaced the worker's id and boot unchecked. Orders then named an id that the worker rejects, its own announcements counted as out of date, and nothing led back.

Change: announcements for another pool than worker.pool are ignored. One under another id or a later boot waits until the worker at the address has answered a listing under that id with that boot; a first one that the worker disowns is dropped. Works because the worker itself rejects orders that name another id and reports its boot in each listing.

The property tests draw the fault too.

--- a/include/monsoonlock/dispatch.h
+++ b/include/monsoonlock/dispatch.h
@@ -163,6 +163,7 @@
 	uint64_t seq; /* increases within a boot */
 	int64_t clock_ms; /* of the worker; 0: not reported */
 	uint32_t remaining_ms; /* while it drains; 0: not reported */
+	uint64_t request; /* returned with the ACK effect */
 };
 
 enum mlk_runner_event_type {
@@ -215,6 +216,7 @@
 	MLK_RUNNER_FX_CONNECT,
 	MLK_RUNNER_FX_CLOSE,
 	MLK_RUNNER_FX_ORDER,
+	MLK_RUNNER_FX_ACK, /* one for each announcement */
 	MLK_RUNNER_FX_LOG,
 	MLK_RUNNER_FX_EXIT,
 };
@@ -234,6 +236,10 @@
 			uint32_t link;
 		} close;
 		struct mlk_order order;
+		struct {
+			uint64_t request;
+			bool accepted; /* false: the announcement is ignored */
+		} ack;
 		struct mlk_decision log;
 	} u;
 };
@@ -250,6 +256,7 @@
 struct mlk_runner_options {
 	char id[MLK_NAME_MAX];
 	char dc[MLK_NAME_MAX];
+	char pool[MLK_NAME_MAX]; /* of the worker; empty: any */
 	uint64_t incarnation;
 	uint32_t lease_ms; /* of runs at the worker */
 	uint32_t entry_lease_ms; /* the runs of an entry that is silent for this
@@ -283,7 +290,9 @@
 	X(entry_leases, "Times that an entry's lease ran out")     \
 	X(addrs_ignored, "Addresses of entries that are not used") \
 	X(superseded, "Times that another agent took the worker")  \
-	X(boots, "Lives of the worker seen")
+	X(boots, "Lives of the worker seen")                       \
+	X(disowned, "Identities that the worker did not confirm")  \
+	X(foreign, "Announcements of another pool")
 
 struct mlk_runner_counters {
 #define X(field, help) uint64_t field;
--- a/src/dispatch/runner.c
+++ b/src/dispatch/runner.c
@@ -268,6 +268,7 @@
 	runner_links_due(r);
 	runner_runs_due(r);
 	runner_offers_due(r);
+	runner_candidate_due(r);
 	runner_list_due(r);
 	stop_due(r);
 	runner_links_flush(r);
--- a/src/dispatch/runner_listing.c
+++ b/src/dispatch/runner_listing.c
@@ -127,8 +127,11 @@
 	struct worker *w = &r->worker;
 	bool foreign;
 
-	if (ev->u.order.boot != 0 && ev->u.order.boot < w->boot)
+	if (ev->u.order.boot != 0 && ev->u.order.boot < w->boot) {
+		runner_disowned(r, order);
 		return;
+	}
+	w->confirmed = true;
 	runner_note_boot(r, ev->u.order.boot);
 	w->ack_sent = MAX(w->ack_sent, MIN(w->acked, order->ack));
 	apply_ends(r, ev);
--- a/src/dispatch/runner_orders.c
+++ b/src/dispatch/runner_orders.c
@@ -149,6 +149,24 @@
 	r->worker.list_sent_at = r->now;
 }
 
+/*
+ * Sends the listing that asks the worker whether it has the announced identity.
+ * It neither renews a lease nor acknowledges ends.
+ */
+void
+runner_order_list_candidate(struct mlk_runner *r)
+{
+	struct candidate *c = &r->worker.candidate;
+	struct mlk_order *order;
+
+	order = order_push(r, MLK_ORDER_LIST, NULL);
+	(void)g_strlcpy(
+	    order->worker, c->announced.info.id, sizeof(order->worker));
+	order->fresh = true;
+	c->list = order->order;
+	r->counters.lists++;
+}
+
 /*
  * Detaches a run from its order before the run is freed.
  */
@@ -373,9 +391,33 @@
 	if (result == MLK_ORDER_OTHER_WORKER) {
 		r->worker.no_foreign_runs = false;
 		r->worker.list_after = r->now + PROBE_NS;
+		runner_disowned(r, order);
 	}
 }
 
+/*
+ * Handles the answer to the listing for the candidate.  It says nothing of the
+ * identity in use, but shows whether a worker is there.
+ */
+static void
+candidate_ended(struct mlk_runner *r, const struct mlk_runner_event *ev,
+    const struct order *order)
+{
+	struct candidate *c = &r->worker.candidate;
+	enum mlk_order_result result = ev->u.order.result;
+
+	c->list = 0;
+	if (was_answered(result)) {
+		runner_answered(r);
+		if (!c->replaced)
+			runner_candidate_listed(r, ev);
+	} else {
+		runner_unanswered(r, order, result == MLK_ORDER_CONN_REFUSED);
+		c->list_after = r->now + PROBE_NS;
+	}
+	c->replaced = false;
+}
+
 static void
 list_ended(struct mlk_runner *r, const struct mlk_runner_event *ev,
     const struct order *order)
@@ -407,6 +449,12 @@
 	order = g_hash_table_lookup(r->orders, &ev->u.order.order);
 	if (order == NULL)
 		return;
+	if (order->id == r->worker.candidate.list) {
+		(void)g_hash_table_steal(r->orders, &ev->u.order.order);
+		candidate_ended(r, ev, order);
+		g_free(order);
+		return;
+	}
 	/* This may end the run, which clears order->run. */
 	note_answer(r, order, ev);
 	(void)g_hash_table_steal(r->orders, &ev->u.order.order);
--- a/src/dispatch/runner_priv.h
+++ b/src/dispatch/runner_priv.h
@@ -184,8 +184,23 @@
 	int64_t sent_at;
 };
 
+/*
+ * An announced identity of the worker (id and boot) that differs from the one
+ * in use.  It is used once the worker at the address has confirmed it.
+ */
+struct candidate {
+	bool pending;
+	struct mlk_announcement announced;
+	uint64_t list; /* order id of the listing that asks for it; 0: none */
+	bool replaced; /* since that listing was sent */
+	int64_t list_after; /* earliest time of that listing */
+};
+
 struct worker {
 	bool known; /* an announcement was received */
+	int64_t known_at; /* time of the first announcement */
+	bool confirmed; /* the worker has answered a listing under its id */
+	struct candidate candidate;
 	struct mlk_worker_info info; /* as last announced */
 	uint64_t seq;
 	int64_t left_at; /* time of its notice that it exits; 0: none */
@@ -292,6 +307,7 @@
     struct mlk_runner *r, const struct mlk_run_name *name);
 void runner_order_list_fence(struct mlk_runner *r);
 void runner_order_list(struct mlk_runner *r, uint32_t slot, uint32_t wait_ms);
+void runner_order_list_candidate(struct mlk_runner *r);
 void runner_order_ended(
     struct mlk_runner *r, const struct mlk_runner_event *ev);
 void runner_orders_forget(struct mlk_runner *r, const struct run *run);
@@ -318,6 +334,10 @@
 bool runner_away(const struct mlk_runner *r);
 void runner_announced(
     struct mlk_runner *r, const struct mlk_announcement *announced);
+void runner_candidate_due(struct mlk_runner *r);
+void runner_candidate_listed(
+    struct mlk_runner *r, const struct mlk_runner_event *ev);
+void runner_disowned(struct mlk_runner *r, const struct order *order);
 void runner_left(struct mlk_runner *r, const char *worker);
 void runner_answered(struct mlk_runner *r);
 void runner_unanswered(
--- a/src/dispatch/runner_worker.c
+++ b/src/dispatch/runner_worker.c
@@ -103,37 +103,22 @@
 }
 
 /*
- * Tells whether an announcement is newer than the last one.  A delayed one may
- * come from an earlier boot, or from another worker that had this address
- * before.
+ * Uses the identity and the state of an announcement.
  */
-static bool
-is_newer(const struct worker *w, const struct mlk_announcement *a)
-{
-	if (!w->known || a->info.boot > w->info.boot)
-		return (true);
-	return (a->info.boot == w->info.boot && a->seq > w->seq &&
-	    strcmp(a->info.id, w->info.id) == 0);
-}
-
-void
-runner_announced(struct mlk_runner *r, const struct mlk_announcement *a)
+static void
+announcement_use(struct mlk_runner *r, const struct mlk_announcement *a)
 {
 	struct worker *w = &r->worker;
 	bool draining;
 
-	if (!is_newer(w, a)) {
-		runner_log(r, MLK_LOG_INFO, NULL,
-		    "announcement %" PRIu64 " of %s ignored: out of date",
-		    a->seq, a->info.id);
-		return;
-	}
 	draining = a->info.state == MLK_WORKER_DRAINING &&
 	    (!w->known || w->info.state != MLK_WORKER_DRAINING);
 	if (!w->known || w->info.boot != a->info.boot)
 		w->left_at = 0;
 	if (w->boot < a->info.boot)
 		runner_note_boot(r, a->info.boot);
+	if (!w->known)
+		w->known_at = r->now;
 	w->known = true;
 	w->info = a->info;
 	w->seq = a->seq;
@@ -145,6 +130,155 @@
 	}
 }
 
+static bool
+is_same_life(const struct mlk_worker_info *a, const struct mlk_worker_info *b)
+{
+	return (a->boot == b->boot && strcmp(a->id, b->id) == 0);
+}
+
+/*
+ * Tells whether an announcement is out of date.  A delayed one may come from an
+ * earlier boot, or from another worker that had this address before.
+ */
+static bool
+is_out_of_date(const struct worker *w, const struct mlk_announcement *a)
+{
+	const struct candidate *c = &w->candidate;
+
+	if (!w->known)
+		return (false);
+	if (is_same_life(&a->info, &w->info))
+		return (a->seq <= w->seq);
+	if (c->pending && is_same_life(&a->info, &c->announced.info))
+		return (a->seq <= c->announced.seq);
+	return (a->info.boot <= w->info.boot);
+}
+
+/*
+ * Tells whether the identity of an announcement needs no confirmation: it is in
+ * use, it is the first one, or a listing of this id has shown the boot.
+ */
+static bool
+is_identity_known(const struct worker *w, const struct mlk_announcement *a)
+{
+	return (!w->known || is_same_life(&a->info, &w->info) ||
+	    (a->info.boot == w->boot && strcmp(a->info.id, w->info.id) == 0));
+}
+
+/*
+ * Handles an announcement.  Returns false when it is ignored.
+ *
+ * Other writers may send announcements too.  One under another id or boot is
+ * therefore not used before the worker at the address confirms it; otherwise a
+ * single one would hide the worker, whose own announcements have an earlier
+ * boot.
+ */
+static bool
+announcement_apply(struct mlk_runner *r, const struct mlk_announcement *a)
+{
+	struct worker *w = &r->worker;
+
+	if (r->options.pool[0] != '\0' &&
+	    strcmp(r->options.pool, a->info.pool) != 0) {
+		r->counters.foreign++;
+		runner_log(r, MLK_LOG_NOTICE, NULL,
+		    "announcement %" PRIu64 " of %s ignored: pool %s, but the "
+		    "settings name %s",
+		    a->seq, a->info.id, a->info.pool, r->options.pool);
+		return (false);
+	}
+	if (is_out_of_date(w, a)) {
+		runner_log(r, MLK_LOG_INFO, NULL,
+		    "announcement %" PRIu64 " of %s ignored: out of date",
+		    a->seq, a->info.id);
+		return (false);
+	}
+	if (is_identity_known(w, a)) {
+		announcement_use(r, a);
+		return (true);
+	}
+	w->candidate.pending = true;
+	w->candidate.announced = *a;
+	w->candidate.replaced = w->candidate.list != 0;
+	w->candidate.list_after = r->now;
+	return (true);
+}
+
+void
+runner_announced(struct mlk_runner *r, const struct mlk_announcement *a)
+{
+	struct mlk_runner_effect *fx;
+	bool accepted;
+
+	accepted = announcement_apply(r, a);
+	fx = mlk_runner_push(r->out, MLK_RUNNER_FX_ACK);
+	if (fx == NULL)
+		g_error("out of memory");
+	fx->u.ack.request = a->request;
+	fx->u.ack.accepted = accepted;
+}
+
+/*
+ * Asks the worker for the announced identity that waits for confirmation.
+ */
+void
+runner_candidate_due(struct mlk_runner *r)
+{
+	const struct candidate *c = &r->worker.candidate;
+
+	if (c->pending && c->list == 0 && r->now >= c->list_after &&
+	    !runner_superseded(r))
+		runner_order_list_candidate(r);
+}
+
+/*
+ * The worker has answered the listing for the candidate.  Its identity is
+ * confirmed unless the worker has another id or boot.
+ */
+void
+runner_candidate_listed(struct mlk_runner *r, const struct mlk_runner_event *ev)
+{
+	struct candidate *c = &r->worker.candidate;
+
+	if (!c->pending)
+		return;
+	c->pending = false;
+	if (ev->u.order.result == MLK_ORDER_OTHER_WORKER ||
+	    (ev->u.order.boot != 0 &&
+		ev->u.order.boot != c->announced.info.boot)) {
+		r->counters.disowned++;
+		runner_log(r, MLK_LOG_NOTICE, NULL,
+		    "announcement %" PRIu64 " of %s ignored: the worker has "
+		    "another id or boot",
+		    c->announced.seq, c->announced.info.id);
+		return;
+	}
+	announcement_use(r, &c->announced);
+	r->worker.confirmed = true;
+}
+
+/*
+ * The answer to an order shows another id or boot than the one in use.  If that
+ * is the first one and has never been confirmed, it is dropped, and the next
+ * announcement is used.
+ */
+void
+runner_disowned(struct mlk_runner *r, const struct order *order)
+{
+	struct worker *w = &r->worker;
+
+	if (!w->known || w->confirmed || order->sent_at < w->known_at)
+		return;
+	r->counters.disowned++;
+	runner_log(r, MLK_LOG_NOTICE, NULL,
+	    "the worker has another id or boot than %s; waiting for its "
+	    "announcement",
+	    w->info.id);
+	w->known = false;
+	w->boot = 0;
+	memset(&w->info, 0, sizeof(w->info));
+}
+
 /*
  * Handles the worker's notice that it exits; its runs end with it.
  */
@@ -153,6 +287,8 @@
 {
 	struct worker *w = &r->worker;
 
+	if (strcmp(worker, w->candidate.announced.info.id) == 0)
+		w->candidate.pending = false;
 	if (!w->known || strcmp(worker, w->info.id) != 0)
 		return;
 	if (w->left_at == 0)
--- a/test/dispatch_world.c
+++ b/test/dispatch_world.c
@@ -319,6 +319,7 @@
 	(void)snprintf(options.id, sizeof(options.id), "agent-%u", i);
 	(void)snprintf(
 	    options.dc, sizeof(options.dc), "dc-%u", i % w->options.entries);
+	(void)snprintf(options.pool, sizeof(options.pool), "pool-a");
 	options.incarnation = ++w->last_generation;
 	for (k = 0; k < w->options.entries; k++)
 		(void)snprintf(
@@ -845,6 +846,7 @@
 		case MLK_RUNNER_FX_LOG:
 			log_decision(w, "agent-", i, &f->u.log);
 			break;
+		case MLK_RUNNER_FX_ACK:
 		case MLK_RUNNER_FX_EXIT:
 			break;
 		}
@@ -1172,6 +1174,33 @@
 		*until = now + ms;
 }
 
+/*
+ * Another writer sends an agent announcements of later boots: for another pool,
+ * under another id, and under the id of the worker.
+ */
+static void
+announce_foreign(struct world *w, uint32_t b)
+{
+	struct mlk_runner_event rev = { .type = MLK_RUNNER_ANNOUNCED };
+	struct world_agent *a = &w->agents[b];
+	struct mlk_announcement announcement;
+	uint32_t i;
+
+	for (i = 0; i < 3 && a->up; i++) {
+		fake_worker_announce(&a->worker, 1, &announcement);
+		announcement.info.boot = w->last_boot + 100 + i;
+		announcement.clock_ms = 1000;
+		if (i == 0)
+			(void)snprintf(announcement.info.pool,
+			    sizeof(announcement.info.pool), "other-pool");
+		if (i != 2)
+			(void)snprintf(announcement.info.id,
+			    sizeof(announcement.info.id), "other-writer");
+		rev.u.announced = &announcement;
+		apply_agent(w, b, &rev);
+	}
+}
+
 static void
 on_fault(struct world *w, const struct event *ev)
 {
@@ -1237,6 +1266,9 @@
 	case WORLD_CALLERS_LEAVE:
 		extend(&w->leave_until, w->now, ev->ms);
 		break;
+	case WORLD_FOREIGN_ANNOUNCEMENTS:
+		announce_foreign(w, b);
+		break;
 	case WORLD_FAULTS:
 		break;
 	}
--- a/test/dispatch_world.h
+++ b/test/dispatch_world.h
@@ -47,6 +47,8 @@
 	WORLD_ORDERS_DROPPED, /* 40 % of the orders to b are lost */
 	WORLD_CALLERS_LEAVE, /* some callers who send in this time disconnect
 				 early */
+	WORLD_FOREIGN_ANNOUNCEMENTS, /* agent b gets announcements that its
+					worker has not sent */
 	WORLD_FAULTS, /* number of faults; as a fault: none */
 };
 
--- a/test/test_runner.c
+++ b/test/test_runner.c
@@ -14,6 +14,7 @@
 
 #define SEEDS 6
 #define FAULT_AT 6000 /* ms, as all times here */
+#define START_AT 1001 /* the world starts at 1000 */
 #define FAULT_MS 4000
 #define END_AT 16000
 #define REFUSALS_MAX 32 /* one RUN of 8 tasks at each of 4 agents */
@@ -110,6 +111,61 @@
 FAULT_TEST(test_worker_silent, WORLD_WORKER_SILENT, FAULT_MS, 80)
 FAULT_TEST(test_orders_late, WORLD_ORDERS_LATE, FAULT_MS, 85)
 FAULT_TEST(test_answers_lost, WORLD_ANSWERS_LOST, FAULT_MS, 85)
+/*
+ * Runs a world in which every agent gets announcements of another writer at the
+ * time `at`, and once more when its runs are at work.  They must change
+ * nothing.
+ */
+static void
+run_foreign_announcements(int64_t at)
+{
+	struct world_options options = base_options;
+	struct world_stats stats;
+	struct world *w;
+	uint32_t b;
+
+	for (options.seed = 1; options.seed <= SEEDS; options.seed++) {
+		w = world_create(&options);
+		for (b = 0; b < options.agents; b++) {
+			world_fault(
+			    w, at, WORLD_FOREIGN_ANNOUNCEMENTS, 0, b, 0);
+			world_fault(
+			    w, FAULT_AT, WORLD_FOREIGN_ANNOUNCEMENTS, 0, b, 0);
+		}
+		world_run(w, END_AT);
+		world_settle(w);
+		fail_if_violated(w, options.seed);
+		world_read_stats(w, &stats);
+		world_destroy(w);
+		assert_int_equal(stats.unanswered, 0);
+		if (stats.in_goal * 100 < stats.jobs * 97) {
+			fail_msg("seed %llu: %u of %u jobs in their goal",
+			    (unsigned long long)options.seed, stats.in_goal,
+			    stats.jobs);
+		}
+	}
+}
+
+/*
+ * Guards against an announcement of another writer that hides the worker: an
+ * agent that uses its id and boot takes the worker's own announcements for out
+ * of date.
+ */
+static void
+test_foreign_announcements(void **state)
+{
+	(void)state;
+	run_foreign_announcements(FAULT_AT);
+}
+
+/* The same, before the first announcement of the worker. */
+static void
+test_foreign_announcement_first(void **state)
+{
+	(void)state;
+	run_foreign_announcements(START_AT);
+}
+
 /*
  * Guards against a worker that loses two in five of its orders and still gets
  * its full share of the work: each lost start waits for a timeout and is sent
@@ -204,6 +260,8 @@
 		cmocka_unit_test(test_agent_short_pause),
 		cmocka_unit_test(test_worker_crash),
 		cmocka_unit_test(test_worker_restart),
+		cmocka_unit_test(test_foreign_announcements),
+		cmocka_unit_test(test_foreign_announcement_first),
 		cmocka_unit_test(test_worker_stall),
 		cmocka_unit_test(test_worker_slow),
 		cmocka_unit_test(test_worker_fails),
