dispatch: repeat a start only if the worker still has room for it

Cause: the resources of a run are reserved under the capacity of the time when it is accepted. Starts without an answer were repeated without a look at the capacity and the state of the worker as it is now.

The agent logs 15 starts without an answer, "the worker has restarted", and then repeats all 15.

Change: a start is repeated only while all reserved resources fit the capacity announced by the present boot, and the worker is neither draining nor gone; otherwise the run ends as not run and its entry places the task elsewhere.

--- a/src/dispatch/runner_orders.c
+++ b/src/dispatch/runner_orders.c
@@ -280,11 +280,27 @@
 	outbid_fence(r);
 }
 
+/*
+ * Tells whether the worker, as announced by its present boot, may get the
+ * starts of all runs in the table.  Their resources were reserved under the
+ * capacity of the boot at that time.
+ */
+static bool
+worker_takes_reserved(const struct mlk_runner *r)
+{
+	const struct worker *w = &r->worker;
+
+	return (w->known && w->left_at == 0 && w->boot == w->info.boot &&
+	    w->info.state == MLK_WORKER_READY &&
+	    mlk_resources_fit(&w->info.capacity, &r->reserved));
+}
+
 bool
 runner_may_start_again(const struct mlk_runner *r, const struct run *run)
 {
 	return (!run->stop_wanted && run->tries < START_TRIES_MAX &&
 	    !runner_superseded(r) && r->now < run->deadline &&
+	    worker_takes_reserved(r) &&
 	    runner_lease_end(r) - r->now >= LEASE_MIN_NS);
 }
 
--- a/test/test_runner_fence.c
+++ b/test/test_runner_fence.c
@@ -20,6 +20,7 @@
 #define LINK 5
 #define JOB 77
 #define WORK_MS 5000
+#define TASKS_MAX 8
 
 /* An agent with one entry attached. */
 struct agent {
@@ -47,6 +48,8 @@
 	int64_t run_ended_at; /* at the worker; 0: none has ended */
 	uint64_t silent_start; /* last start without an answer; 0: none */
 	bool starts_silent; /* starts are carried out and not answered */
+	bool dark; /* no order arrives */
+	uint32_t task_cpu; /* of the tasks that the entry sends */
 };
 
 static void
@@ -106,7 +109,7 @@
 static void
 run_orders(struct bench *t, const struct agent *paused)
 {
-	static const struct mlk_resources task = { .cpu = 1000, .mem_mb = 64 };
+	struct mlk_resources task = { .cpu = t->task_cpu, .mem_mb = 64 };
 	struct mlk_runner_event ev;
 	struct pending pending;
 	guint i, n = t->pending->len;
@@ -120,6 +123,14 @@
 			(void)g_array_append_val(t->pending, pending);
 			continue;
 		}
+		if (t->dark) {
+			ev = (struct mlk_runner_event){ .type =
+							    MLK_RUNNER_ORDER };
+			ev.u.order.order = pending.order.order;
+			ev.u.order.result = MLK_ORDER_NO_ANSWER;
+			apply(t, pending.agent, &ev);
+			continue;
+		}
 		fake_worker_order(
 		    &t->worker, &pending.order, &task, WORK_MS, &ev);
 		if (ev.u.order.result == MLK_ORDER_OK) {
@@ -240,26 +251,41 @@
 }
 
 /*
- * The entry sends one task of a long run.
+ * The entry sends the tasks of a job, which run long.
  */
 static void
-send_run(struct bench *t, struct agent *a)
+send_runs(struct bench *t, struct agent *a, uint32_t n)
 {
-	struct mlk_run_task task = { .resources = {
-					 .cpu = 1000, .mem_mb = 64 } };
+	struct mlk_run_task tasks[TASKS_MAX] = { 0 };
 	struct mlk_msg msg = { .type = MLK_MSG_RUN };
+	uint32_t i;
+
+	for (i = 0; i < n; i++) {
+		tasks[i].index = i;
+		tasks[i].resources.cpu = t->task_cpu;
+		tasks[i].resources.mem_mb = 64;
+	}
 
 	msg.u.run.sent_at = (uint64_t)t->now;
 	msg.u.run.seq = 1;
 	msg.u.run.job = JOB;
 	(void)strcpy(msg.u.run.id, "5c0e7a21d94b36f8");
 	msg.u.run.deadline_ms = 4 * WORK_MS;
-	msg.u.run.n = 1;
-	msg.u.run.tasks = &task;
+	msg.u.run.n = n;
+	msg.u.run.tasks = tasks;
 	deliver(t, a, &msg);
 	advance(t, 2 * TICK_MS, NULL);
 }
 
+/*
+ * The entry sends one task of a long run.
+ */
+static void
+send_run(struct bench *t, struct agent *a)
+{
+	send_runs(t, a, 1);
+}
+
 static int
 setup(void **state)
 {
@@ -267,6 +293,7 @@
 
 	t->now = 10000;
 	t->pending = g_array_new(FALSE, FALSE, sizeof(struct pending));
+	t->task_cpu = 1000;
 	fake_worker_init(&t->worker, "worker-1", 1000, 64000, t->now);
 	start_agent(t, &t->a, "agent-1", NULL);
 	*state = t;
@@ -395,6 +422,55 @@
 	assert_int_equal(t->b.starts, 1);
 }
 
+/*
+ * Guards against repeated starts that exceed the capacity of a worker: it has
+ * restarted under its id as a smaller one, while starts had no answer.
+ */
+static void
+test_restart_with_less_capacity(void **state)
+{
+	struct bench *t = *state;
+	char id[MLK_NAME_MAX];
+
+	t->task_cpu = 8000;
+	t->dark = true;
+	send_runs(t, &t->a, TASKS_MAX);
+	advance(t, 100, NULL);
+	assert_int_equal(t->a.starts, 0);
+	(void)g_strlcpy(id, t->worker.id, sizeof(id));
+	fake_worker_init(&t->worker, id, t->worker.boot + 1000,
+	    TASKS_MAX * 8000 / 2, t->now);
+	t->dark = false;
+	announce(t, &t->a);
+	advance(t, 500, NULL);
+	assert_int_equal(t->worker.over_capacity, 0);
+	assert_int_equal(t->worker.nruns, TASKS_MAX / 2);
+}
+
+/*
+ * Guards against unanswered starts that are repeated on a worker that has begun
+ * to drain meanwhile.
+ */
+static void
+test_no_repeated_start_while_draining(void **state)
+{
+	struct bench *t = *state;
+	struct mlk_runner_event ev = { .type = MLK_RUNNER_ANNOUNCED };
+	struct mlk_announcement announcement;
+
+	t->dark = true;
+	send_run(t, &t->a);
+	advance(t, 100, NULL);
+	fake_worker_announce(&t->worker, ++t->announce_seq, &announcement);
+	announcement.info.state = MLK_WORKER_DRAINING;
+	ev.u.announced = &announcement;
+	apply(t, &t->a, &ev);
+	t->dark = false;
+	advance(t, 500, NULL);
+	assert_int_equal(t->a.starts, 0);
+	assert_int_equal(t->worker.nruns, 0);
+}
+
 /*
  * Guards against the use of a run that is freed: its start has no answer, a
  * listing shows it active, it is stopped and ends, and then the start times
@@ -433,6 +509,10 @@
 main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(
+		    test_restart_with_less_capacity, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_no_repeated_start_while_draining, setup, teardown),
 		cmocka_unit_test_setup_teardown(
 		    test_superseded_agent_gives_no_orders, setup, teardown),
 		cmocka_unit_test_setup_teardown(
