--- a/include/monsoonlock/net.h
+++ b/include/monsoonlock/net.h
@@ -155,8 +155,8 @@
  */
 void mlk_loop_http_close_after(struct mlk_loop *loop, bool close_after);
 /*
- * Replies not yet written out; a planned stop (graceful shutdown) waits until
- * there are none.
+ * Replies not yet written out, and requests that are held; a planned stop
+ * (graceful shutdown) waits until there are none.
  */
 size_t mlk_loop_http_pending(const struct mlk_loop *loop);
 
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -166,7 +166,7 @@
 
 	lws_set_opaque_user_data(c->wsi, NULL);
 	ev.u.gone.request = c->confirming ? 0 : c->request;
-	if (c->reply != NULL)
+	if (c->reply != NULL || c->confirming)
 		loop->http_pending--;
 	if (c->request != 0)
 		mlk_table_remove(&loop->requests, c->request);
@@ -308,6 +308,7 @@
 	(void)setsockopt(lws_get_socket_fd(c->wsi), IPPROTO_TCP, TCP_QUICKACK,
 	    &on, sizeof(on));
 	c->confirming = true;
+	c->loop->http_pending++;
 	lws_set_timer_usecs(c->wsi, (lws_usec_t)CONFIRM_MS * LWS_US_PER_MS);
 	return (0);
 }
@@ -520,6 +521,7 @@
 {
 	if (c->confirming) {
 		c->confirming = false;
+		c->loop->http_pending--;
 		return (pass_on_connected(c));
 	}
 	return (c->request != 0 || c->reply != NULL ? 0 : -1);
--- a/test/test_net.c
+++ b/test/test_net.c
@@ -697,6 +697,27 @@
 	(void)close(fd);
 }
 
+/*
+ * Guards against a planned stop that does not wait for a held request, whose
+ * client would get no answer.
+ */
+static void
+test_held_request_is_pending(void **state)
+{
+	int fd;
+
+	(void)state;
+	fd = connect_idle();
+	assert_int_equal(
+	    send(fd, old_request, strlen(old_request), MSG_NOSIGNAL),
+	    strlen(old_request));
+	run_ticks(2);
+	assert_true(requests == 2 || mlk_loop_http_pending(loop) == 1);
+	run_until(&requests, 2);
+	assert_int_equal(mlk_loop_http_pending(loop), 0);
+	(void)close(fd);
+}
+
 /*
  * Guards against a failed call with the wrong result.  A call that its lane did
  * not start in time, or whose port refuses it, was not sent; one without a
@@ -1296,6 +1317,7 @@
 		CONFIRM_TEST(test_delayed_request_dropped),
 		CONFIRM_TEST(test_closed_before_read),
 		CONFIRM_TEST(test_held_request_passed_on),
+		CONFIRM_TEST(test_held_request_is_pending),
 		NET_TEST(test_call_results),
 		NET_TEST(test_slow_response),
 		NET_TEST(test_slow_body),
