--- a/test/test_net.c
+++ b/test/test_net.c
@@ -587,9 +587,17 @@
 	(void)close(fd);
 }
 
-static const char old_request[] =
+static const char request_text[] =
     "POST /hold HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nab";
 
+static void
+send_request(int fd)
+{
+	assert_int_equal(
+	    send(fd, request_text, strlen(request_text), MSG_NOSIGNAL),
+	    strlen(request_text));
+}
+
 /*
  * Returns a connection that has been idle for longer than CONFIRM_AFTER_MS.
  */
@@ -618,9 +626,7 @@
 
 	(void)state;
 	fd = connect_idle();
-	assert_int_equal(
-	    send(fd, old_request, strlen(old_request), MSG_NOSIGNAL),
-	    strlen(old_request));
+	send_request(fd);
 	run_ticks(1);
 	(void)close(fd);
 	run_until(&clients_dropped, 1);
@@ -640,7 +646,7 @@
 	int fd;
 
 	(void)state;
-	fd = connect_raw(old_request);
+	fd = connect_raw(request_text);
 	(void)close(fd);
 	run_until(&clients_dropped, 1);
 	run_ticks(5);
@@ -659,9 +665,7 @@
 	char reply[256];
 	int64_t sent = now(), passed_on;
 
-	assert_int_equal(
-	    send(fd, old_request, strlen(old_request), MSG_NOSIGNAL),
-	    strlen(old_request));
+	send_request(fd);
 	run_until(&requests, n + 1);
 	passed_on = now();
 	assert_int_equal(mlk_loop_http_reply(loop, unanswered[n % CALL_SLOTS],
@@ -708,9 +712,7 @@
 
 	(void)state;
 	fd = connect_idle();
-	assert_int_equal(
-	    send(fd, old_request, strlen(old_request), MSG_NOSIGNAL),
-	    strlen(old_request));
+	send_request(fd);
 	run_ticks(2);
 	assert_true(requests == 2 || mlk_loop_http_pending(loop) == 1);
 	run_until(&requests, 2);
