test: a busy machine does not decide test_delayed_request_dropped

Cause, found while reading the test: its client closes one tick after the request, which must be within the 20 ms of the hold; a loop that is stalled for longer would pass the request on, and the test would fail for no fault of the server.

Change: an attempt whose close came later than the hold is repeated, up to 20 times. The checks are as strict as before, against the counts at the begin of the attempt.

--- a/test/test_net.c
+++ b/test/test_net.c
@@ -608,7 +608,7 @@
 	int fd;
 
 	fd = connect_raw("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
-	run_until(&requests, 1);
+	run_until(&requests, requests + 1);
 	run_ticks(CONFIRM_AFTER_MS * 3 / 2 / TICK_MS);
 	assert_true(recv(fd, reply, sizeof(reply), MSG_DONTWAIT) > 0);
 	return (fd);
@@ -622,17 +622,28 @@
 static void
 test_delayed_request_dropped(void **state)
 {
+	uint32_t tries = 0, n, dropped, gone;
+	int64_t sent;
 	int fd;
 
 	(void)state;
-	fd = connect_idle();
-	send_request(fd);
-	run_ticks(1);
-	(void)close(fd);
-	run_until(&clients_dropped, 1);
+	do {
+		assert_true(tries++ < 20);
+		fd = connect_idle();
+		n = requests;
+		dropped = clients_dropped;
+		gone = clients_gone;
+		sent = now();
+		send_request(fd);
+		run_ticks(1);
+		(void)close(fd);
+		/* On a busy machine the hold may be over before the close. */
+	} while (now() - sent >= HOLD_NS);
+	run_until(&clients_dropped, dropped + 1);
 	run_ticks(5);
-	assert_int_equal(requests, 1);
-	assert_int_equal(clients_gone, 0);
+	assert_int_equal(requests, n);
+	assert_int_equal(clients_dropped, dropped + 1);
+	assert_int_equal(clients_gone, gone);
 	assert_int_equal(mlk_loop_http_pending(loop), 0);
 }
 
