--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-2/standin ] || exit 2
 folder=$(mktemp -d) || exit 2
-target/review-2/standin cancel "$folder" review/9/record.txt &
+target/review-2/standin leave-late "$folder" review/9/record.txt &
 pid=$!
 trap 'kill $pid 2>/dev/null; rm -rf "$folder"; exit 2' INT TERM HUP
 wait $pid
--- a/review/stand-in-2/main.c
+++ b/review/stand-in-2/main.c
@@ -12,6 +12,12 @@
 #include "standin.h"
 
 #define READY_WITHIN_MS 15000
+#define CUT_MS 5500
+/*
+ * When TCP repeats a packet for the first time after a cut of CUT_MS that began
+ * as it was sent: 0.2 s, doubled five times.
+ */
+#define REPEATED_MS 6200
 
 static bool ready[ENTRIES_MAX], ready_asked[ENTRIES_MAX];
 
@@ -172,17 +178,18 @@
 	struct job *job;
 	int i;
 
-	world(dir, 2, 30000);
-	job = started_job(12000, 25000);
+	nentries = 2;
+	world(dir, 8, 8000);
+	job = started_job(4000, 8000);
 	i = job->tasks[0].worker;
-	run_until(now_ms() + 500);
+	run_until(now_ms() + 200);
 	worker_drain(i);
 	while (!workers[i].drain_acked)
 		tick();
-	run_until(workers[i].drain_acked_at + 3000);
+	run_until(workers[i].drain_acked_at + 2200);
 	if (trouble()) {
 		worker_leave(i, left_lost, NULL);
-		run_until(now_ms() + 3000);
+		run_until(now_ms() + 2000);
 		worker_end(i, "some seconds after a notice without an answer");
 	} else {
 		worker_leave(i, left, &acked);
@@ -190,46 +197,69 @@
 			tick();
 		worker_end(i, "its notice is acknowledged");
 	}
-	wait_jobs(now_ms() + 25000);
+	wait_jobs(now_ms() + 12000);
 }
 
 /*
- * The notice of a worker that leaves is held up, and arrives after the worker
- * has ended and has started again under its id.
+ * Hands in jobs of four tasks of about 0.76 s, eight a second, until a time.
+ */
+static void
+traffic_until(int64_t at)
+{
+	int64_t next = now_ms();
+
+	while (now_ms() < at) {
+		if (now_ms() >= next) {
+			(void)job_submit(4, 700 + rand() % 120, 6200, 1500);
+			next += 125;
+		}
+		tick();
+	}
+}
+
+/*
+ * Worker 0 drains and says that it leaves while it is partitioned from control.
+ * It ends without an answer, and starts again under its id.  The partition
+ * heals: a new ping passes at once, and the notice with the next repetition of
+ * its packet.
  */
 static void
 case_leave_late(const char *dir)
 {
+	int64_t cut_at, healed_at;
 	bool acked = false;
 	char id[32];
-	int k;
 
-	world(dir, 2, 30000);
+	world(dir, 5, 1500);
+	(void)snprintf(id, sizeof(id), "%s", workers[0].id);
 	worker_drain(0);
 	while (!workers[0].drain_acked)
 		tick();
-	run_until(workers[0].drain_acked_at + 3000);
-	if (!trouble()) {
+	traffic_until(workers[0].drain_acked_at + 2200);
+	cut_at = now_ms();
+	healed_at = cut_at + CUT_MS;
+	if (trouble()) {
+		record("worker 0 is partitioned from control, and says that it "
+		       "leaves");
+		workers[0].ping_at = healed_at;
+		traffic_until(cut_at + 2000);
+	} else {
 		worker_leave(0, left, &acked);
 		while (!acked)
 			tick();
-	} else {
-		record("worker 0: its notice to leave is held up");
-		run_until(now_ms() + 2000);
 	}
-	(void)snprintf(id, sizeof(id), "%s", workers[0].id);
-	worker_end(0, "it has left");
-	run_until(now_ms() + 1000);
+	worker_end(0, "it leaves");
+	traffic_until(cut_at + 3000);
 	worker_start(0, id);
-	run_until(now_ms() + 4000);
-	for (k = 0; k < 6; k++) {
-		(void)job_submit(1, 5000, 6200, 20000);
-		run_until(now_ms() + 100);
-	}
-	run_until(now_ms() + 1000);
+	if (trouble())
+		workers[0].ping_at = healed_at;
+	traffic_until(healed_at);
+	record("the partition has healed");
+	traffic_until(cut_at + REPEATED_MS);
 	if (trouble())
 		worker_leave(0, left, &acked);
-	wait_jobs(now_ms() + 25000);
+	traffic_until(cut_at + REPEATED_MS + 3000);
+	wait_jobs(now_ms() + 6000);
 }
 
 /*
@@ -268,8 +298,8 @@
 	crash = now_ms() + 3000;
 	while (now_ms() < end) {
 		while (now_ms() >= next) {
-			(void)job_submit(1, 60 + rand() % 80, 6200, 1500);
-			next += 7;
+			(void)job_submit(1, 40 + rand() % 23, 6200, 1500);
+			next += 4;
 		}
 		if (trouble() && up == 0 && now_ms() >= crash) {
 			(void)snprintf(
