--- a/review/stand-in-2/main.c
+++ b/review/stand-in-2/main.c
@@ -201,7 +201,7 @@
 }
 
 /*
- * Hands in jobs of four tasks of about 0.76 s, eight a second, until a time.
+ * Hands in jobs of four tasks of about 0.76 s, twelve a second, until a time.
  */
 static void
 traffic_until(int64_t at)
@@ -211,7 +211,7 @@
 	while (now_ms() < at) {
 		if (now_ms() >= next) {
 			(void)job_submit(4, 700 + rand() % 120, 6200, 1500);
-			next += 125;
+			next += 83;
 		}
 		tick();
 	}
