dispatch: keep the runs of a worker that accepts no connections

Callers saw: a task twice at the same time, when a worker reset part of its connections. The worker was also started beyond its capacity.

Cause: two orders in a row without a connection counted as the proof that the worker had exited and that its runs had ended with it. Nothing was sent on such a connection, and that is all it proves.

Change: runs are kept until a listing shows their ends, or until every lease that the worker may have been granted has expired. An order that was not sent grants no lease, so the leases are noted when orders end, and those of orders in flight are looked at when they are needed. MLK_ORDER_CONN_REFUSED is now MLK_ORDER_NOT_SENT.

Test: test_conns_refused.

--- a/include/monsoonlock/dispatch.h
+++ b/include/monsoonlock/dispatch.h
@@ -134,7 +134,7 @@
 	MLK_ORDER_INVALID,
 	MLK_ORDER_UNHEALTHY, /* the worker refused it and did not act on it */
 	MLK_ORDER_OTHER_WORKER, /* a worker with another id answers there */
-	MLK_ORDER_CONN_REFUSED, /* connection refused; nothing was sent */
+	MLK_ORDER_NOT_SENT, /* there was no connection; nothing was sent */
 	MLK_ORDER_NO_ANSWER, /* may still be carried out, now or later */
 };
 
--- a/src/dispatch/runner.c
+++ b/src/dispatch/runner.c
@@ -146,8 +146,8 @@
 	const struct worker *w = &r->worker;
 
 	if (!w->known || w->left_at != 0 || !r->predecessor_done ||
-	    !w->no_foreign_runs || w->boot != w->info.boot ||
-	    w->conn_refused > 0 || runner_superseded(r) || runner_away(r))
+	    !w->no_foreign_runs || w->boot != w->info.boot || w->not_sent > 0 ||
+	    runner_superseded(r) || runner_away(r))
 		return (MLK_WORKER_UNAVAILABLE);
 	if (r->stopping || w->info.state != MLK_WORKER_READY)
 		return (MLK_WORKER_DRAINING);
--- a/src/dispatch/runner_orders.c
+++ b/src/dispatch/runner_orders.c
@@ -53,6 +53,7 @@
 runner_order_start(struct mlk_runner *r, struct run *run)
 {
 	struct mlk_order *order;
+	struct order *sent;
 	gconstpointer data;
 	gsize len;
 
@@ -61,7 +62,8 @@
 	data = g_bytes_get_data(run->spec, &len);
 	if (mlk_blob_copy(&order->spec, data, len) != 0)
 		g_error("out of memory");
-	order->lease_until_ms = runner_lease_until(r);
+	sent = g_hash_table_lookup(r->orders, &order->order);
+	order->lease_until_ms = runner_lease_until(r, &sent->leases_expired_at);
 	run->state = RUN_STARTING;
 	run->fence = order->fence;
 	run->sent_at = r->now;
@@ -120,7 +122,8 @@
 	 * expire before the runs count as lost.
 	 */
 	if (r->nactive > 0 && !runner_away(r))
-		order->lease_until_ms = runner_lease_until(r);
+		order->lease_until_ms =
+		    runner_lease_until(r, &sent->leases_expired_at);
 	r->counters.lists++;
 	return (order);
 }
@@ -332,7 +335,7 @@
 	case MLK_ORDER_FENCED:
 	case MLK_ORDER_STALE_RUN:
 	case MLK_ORDER_LEASE_EXPIRED:
-	case MLK_ORDER_CONN_REFUSED:
+	case MLK_ORDER_NOT_SENT:
 		start_again(r, run);
 		return;
 	case MLK_ORDER_NO_ANSWER:
@@ -373,8 +376,7 @@
 static bool
 was_answered(enum mlk_order_result result)
 {
-	return (
-	    result != MLK_ORDER_NO_ANSWER && result != MLK_ORDER_CONN_REFUSED);
+	return (result != MLK_ORDER_NO_ANSWER && result != MLK_ORDER_NOT_SENT);
 }
 
 /*
@@ -386,10 +388,13 @@
 {
 	enum mlk_order_result result = ev->u.order.result;
 
-	if (order->type == MLK_ORDER_START && result != MLK_ORDER_CONN_REFUSED)
+	if (result != MLK_ORDER_NOT_SENT)
+		r->worker.leases_expired_at =
+		    MAX(r->worker.leases_expired_at, order->leases_expired_at);
+	if (order->type == MLK_ORDER_START && result != MLK_ORDER_NOT_SENT)
 		runner_health_started(r, was_answered(result));
 	if (!was_answered(result)) {
-		runner_unanswered(r, order, result == MLK_ORDER_CONN_REFUSED);
+		runner_unanswered(r, result != MLK_ORDER_NOT_SENT);
 		/* Listings and stops are harmless when carried out late. */
 		if (result == MLK_ORDER_NO_ANSWER &&
 		    order->type == MLK_ORDER_START &&
@@ -416,8 +421,7 @@
  * identity in use, but shows whether a worker is there.
  */
 static void
-candidate_ended(struct mlk_runner *r, const struct mlk_runner_event *ev,
-    const struct order *order)
+candidate_ended(struct mlk_runner *r, const struct mlk_runner_event *ev)
 {
 	struct candidate *c = &r->worker.candidate;
 	enum mlk_order_result result = ev->u.order.result;
@@ -428,7 +432,7 @@
 		if (!c->replaced)
 			runner_candidate_listed(r, ev);
 	} else {
-		runner_unanswered(r, order, result == MLK_ORDER_CONN_REFUSED);
+		runner_unanswered(r, result != MLK_ORDER_NOT_SENT);
 		c->list_after = r->now + PROBE_NS;
 	}
 	c->replaced = false;
@@ -467,7 +471,7 @@
 		return;
 	if (order->id == r->worker.candidate.list) {
 		(void)g_hash_table_steal(r->orders, &ev->u.order.order);
-		candidate_ended(r, ev, order);
+		candidate_ended(r, ev);
 		g_free(order);
 		return;
 	}
--- a/src/dispatch/runner_priv.h
+++ b/src/dispatch/runner_priv.h
@@ -182,6 +182,8 @@
 	uint64_t fence;
 	uint64_t ack; /* LIST */
 	int64_t sent_at;
+	int64_t leases_expired_at; /* by then the lease that it grants has
+				      expired; 0: it grants none */
 };
 
 /*
@@ -218,11 +220,11 @@
 	int64_t stand_down; /* length of the last such time */
 	bool no_foreign_runs; /* a listing of this boot showed no foreign run */
 	int64_t list_clock_ms; /* worker's clock in the last listing applied */
-	int64_t leases_expired_at; /* by then all leases granted have expired */
+	int64_t leases_expired_at; /* by then all leases have expired that were
+				      granted by orders no longer in flight */
 	int64_t answered_at;
 	int64_t unanswered_since; /* first unanswered order; 0: none */
-	uint32_t conn_refused; /* consecutive refused connections */
-	int64_t conn_refused_since; /* send time of the first of those orders */
+	uint32_t not_sent; /* consecutive orders without a connection */
 	uint64_t acked; /* last end number processed */
 	uint64_t ack_sent; /* last end number whose acknowledgement the worker
 			      has received */
@@ -285,11 +287,7 @@
 void runner_run_confirmed(struct mlk_runner *r, struct run *run);
 void runner_run_stop(
     struct mlk_runner *r, struct run *run, enum mlk_run_end end);
-/*
- * confirmed_before INT64_MAX: all runs, also those whose start is unanswered.
- */
-void runner_runs_lost(
-    struct mlk_runner *r, int64_t confirmed_before, const char *cause);
+void runner_runs_lost(struct mlk_runner *r, const char *cause);
 void runner_runs_due(struct mlk_runner *r);
 
 /* runner_offers.c */
@@ -329,7 +327,7 @@
 /* runner_worker.c */
 void runner_note_clock(struct mlk_runner *r, int64_t clock_ms);
 int64_t runner_lease_end(const struct mlk_runner *r);
-int64_t runner_lease_until(struct mlk_runner *r);
+int64_t runner_lease_until(struct mlk_runner *r, int64_t *expired_at);
 void runner_note_boot(struct mlk_runner *r, uint64_t boot);
 bool runner_away(const struct mlk_runner *r);
 void runner_announced(
@@ -340,8 +338,7 @@
 void runner_disowned(struct mlk_runner *r, const struct order *order);
 void runner_left(struct mlk_runner *r, const char *worker);
 void runner_answered(struct mlk_runner *r);
-void runner_unanswered(
-    struct mlk_runner *r, const struct order *order, bool refused);
+void runner_unanswered(struct mlk_runner *r, bool sent);
 void runner_worker_due(struct mlk_runner *r);
 
 /* runner_links.c */
--- a/src/dispatch/runner_runs.c
+++ b/src/dispatch/runner_runs.c
@@ -197,12 +197,11 @@
 }
 
 /*
- * Ends the runs that were confirmed before a given time: the worker exited or
- * their leases expired.
+ * Ends all runs, also those whose start is unanswered: their leases have
+ * expired, or the worker has exited.
  */
 void
-runner_runs_lost(
-    struct mlk_runner *r, int64_t confirmed_before, const char *cause)
+runner_runs_lost(struct mlk_runner *r, const char *cause)
 {
 	struct run *run;
 	uint32_t n = 0;
@@ -210,10 +209,6 @@
 
 	for (i = r->runs->len; i > 0; i--) {
 		run = g_ptr_array_index(r->runs, i - 1);
-		if (confirmed_before != INT64_MAX &&
-		    (run->confirmed_at == 0 ||
-			run->confirmed_at >= confirmed_before))
-			continue;
 		runner_run_ended(
 		    r, run, run->stop_wanted ? run->stop_end : MLK_RUN_LOST);
 		n++;
--- a/src/dispatch/runner_worker.c
+++ b/src/dispatch/runner_worker.c
@@ -56,21 +56,21 @@
 
 /*
  * Returns the time at which a lease renewed now expires, in ms of the worker's
- * clock, or 0 when it has passed or the clock is unknown.  Updates the time by
- * which all leases have certainly expired.
+ * clock, or 0 when it has passed or the clock is unknown.  Sets *expired_at to
+ * the local time by which this lease has certainly expired, or to 0.
  */
 int64_t
-runner_lease_until(struct mlk_runner *r)
+runner_lease_until(struct mlk_runner *r, int64_t *expired_at)
 {
 	struct worker *w = &r->worker;
-	int64_t elapsed_ms, lease_ns, leases_expired_at;
+	int64_t elapsed_ms, lease_ns;
 
 	lease_ns = runner_lease_end(r) - r->now;
+	*expired_at = 0;
 	if (w->clock_ms == 0 || lease_ns <= 0)
 		return (0);
-	leases_expired_at = r->now + lease_ns +
-	    lease_ns * LEASE_SLACK_PERCENT / 100 + LEASE_SLACK_NS;
-	w->leases_expired_at = MAX(w->leases_expired_at, leases_expired_at);
+	*expired_at = r->now + lease_ns + lease_ns * LEASE_SLACK_PERCENT / 100 +
+	    LEASE_SLACK_NS;
 	elapsed_ms = (r->now - w->clock_at) / MS;
 	return (w->clock_ms + elapsed_ms * CLOCK_RATE / 1000 + lease_ns / MS);
 }
@@ -324,31 +324,56 @@
 	}
 	w->answered_at = r->now;
 	w->unanswered_since = 0;
-	w->conn_refused = 0;
+	w->not_sent = 0;
 }
 
 /*
- * An order got no answer, or its connection was refused.  A worker that refuses
- * connections twice in a row has exited, and its runs have ended with it.  It
- * may have restarted since, so starts that have no answer yet are not ended.
+ * An order got no answer; `sent` tells whether any of it may have arrived.
+ *
+ * That the worker accepts no connection does not prove that it has exited: it
+ * may be overloaded, or a firewall may reject connections.  Its runs are kept
+ * until a listing shows their ends or their leases have expired.
  */
 void
-runner_unanswered(struct mlk_runner *r, const struct order *order, bool refused)
+runner_unanswered(struct mlk_runner *r, bool sent)
 {
 	struct worker *w = &r->worker;
 
 	if (w->unanswered_since == 0)
 		w->unanswered_since = r->now;
-	if (!refused) {
-		w->conn_refused = 0;
+	if (sent) {
+		w->not_sent = 0;
 		return;
 	}
 	w->fence_unconfirmed = true;
-	if (++w->conn_refused == 1)
-		w->conn_refused_since = order->sent_at;
-	else if (w->conn_refused == 2)
-		runner_runs_lost(
-		    r, w->conn_refused_since, "the worker refuses connections");
+	if (++w->not_sent == 1 && r->nactive > 0) {
+		runner_log(r, MLK_LOG_INFO, NULL,
+		    "no connection to the worker; %u runs wait for a listing "
+		    "or the end of their leases",
+		    r->nactive);
+	}
+}
+
+/*
+ * Tells whether every lease that the worker may have been granted has expired.
+ */
+static bool
+leases_expired(const struct mlk_runner *r)
+{
+	const struct worker *w = &r->worker;
+	const struct order *order;
+	GHashTableIter iter;
+	gpointer value;
+
+	if (r->now < w->leases_expired_at)
+		return (false);
+	g_hash_table_iter_init(&iter, r->orders);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		order = value;
+		if (r->now < order->leases_expired_at)
+			return (false);
+	}
+	return (true);
 }
 
 /*
@@ -363,18 +388,16 @@
 	struct entry *e;
 	guint i;
 
-	if (r->nactive > 0 && w->unanswered_since != 0 &&
-	    r->now >= w->leases_expired_at)
-		runner_runs_lost(r, INT64_MAX,
+	if (r->nactive > 0 && w->unanswered_since != 0 && leases_expired(r))
+		runner_runs_lost(r,
 		    "the worker does not answer, and every lease has run out");
-	if (r->nactive > 0 && runner_superseded(r) &&
-	    r->now >= w->leases_expired_at) {
-		runner_runs_lost(r, INT64_MAX,
+	if (r->nactive > 0 && runner_superseded(r) && leases_expired(r)) {
+		runner_runs_lost(r,
 		    "another agent has the worker, and every lease has run "
 		    "out");
 	}
 	if (w->left_at != 0 && r->nactive > 0 && r->now - w->left_at >= LEFT_NS)
-		runner_runs_lost(r, INT64_MAX, "the worker has left");
+		runner_runs_lost(r, "the worker has left");
 	/*
 	 * No earlier agent has renewed a lease since this one started, so after
 	 * the time of a lease none of its runs is left.
--- a/test/dispatch_world.c
+++ b/test/dispatch_world.c
@@ -23,6 +23,7 @@
 #define SETTLE_STEP_MS 2000
 #define LATE_MIN_MS 60 /* delay of a late order */
 #define ORDER_DROP_PERCENT 40
+#define CONN_REFUSED_PERCENT 40
 #define REFUSAL_RETRIES_MAX 4U
 #define LATE_MAX_MS 6000
 
@@ -131,6 +132,8 @@
 	int64_t late_until;
 	int64_t answers_lost_until;
 	int64_t drop_until;
+	int64_t refuse_until;
+	uint32_t refuse_percent; /* share of the connections that are refused */
 	uint32_t loss_percent; /* share of the orders that are late or lose
 				  their answer */
 	int64_t silent_until; /* no order is answered */
@@ -687,7 +690,7 @@
 		if (!a->refuses_when_down || !ev->answered)
 			return;
 		result.u.order.order = ev->order.order;
-		result.u.order.result = MLK_ORDER_CONN_REFUSED;
+		result.u.order.result = MLK_ORDER_NOT_SENT;
 		push_order_result(
 		    w, ev->index, ev->generation, w->now + 1, &result);
 		return;
@@ -730,6 +733,12 @@
 	none.u.order.result = MLK_ORDER_NO_ANSWER;
 	push_order_result(
 	    w, i, a->generation, w->now + order->timeout_ms, &none);
+	if (w->now < a->refuse_until && below(w, 100) < a->refuse_percent) {
+		mlk_blob_clear(&order->spec);
+		none.u.order.result = MLK_ORDER_NOT_SENT;
+		push_order_result(w, i, a->generation, w->now + 1, &none);
+		return;
+	}
 	if (w->now < a->drop_until && below(w, 100) < ORDER_DROP_PERCENT) {
 		mlk_blob_clear(&order->spec);
 		return;
@@ -1263,6 +1272,11 @@
 	case WORLD_ORDERS_DROPPED:
 		extend(&w->agents[b].drop_until, w->now, ev->ms);
 		break;
+	case WORLD_CONNS_REFUSED:
+		w->agents[b].refuse_percent =
+		    below(w, 2) == 0 ? CONN_REFUSED_PERCENT : 100;
+		extend(&w->agents[b].refuse_until, w->now, ev->ms);
+		break;
 	case WORLD_CALLERS_LEAVE:
 		extend(&w->leave_until, w->now, ev->ms);
 		break;
--- a/test/dispatch_world.h
+++ b/test/dispatch_world.h
@@ -45,6 +45,8 @@
 	WORLD_ANSWERS_LOST, /* some orders to b are carried out, but get no
 				answer */
 	WORLD_ORDERS_DROPPED, /* 40 % of the orders to b are lost */
+	WORLD_CONNS_REFUSED, /* b works on, but refuses 40 % or all of the
+				connections of its agent */
 	WORLD_CALLERS_LEAVE, /* some callers who send in this time disconnect
 				 early */
 	WORLD_FOREIGN_ANNOUNCEMENTS, /* agent b gets announcements that its
--- a/test/test_runner.c
+++ b/test/test_runner.c
@@ -174,6 +174,11 @@
  * delay its share, a quarter of the jobs, for 1.6 s of 16 s.
  */
 FAULT_TEST(test_orders_dropped, WORLD_ORDERS_DROPPED, FAULT_MS, 97)
+/*
+ * Guards against tasks with two runs: a worker that refuses connections, but
+ * works on, is taken for one that has exited.
+ */
+FAULT_TEST(test_conns_refused, WORLD_CONNS_REFUSED, FAULT_MS, 85)
 FAULT_TEST(test_callers_leave, WORLD_CALLERS_LEAVE, FAULT_MS, 60)
 
 /*
@@ -269,6 +274,7 @@
 		cmocka_unit_test(test_orders_late),
 		cmocka_unit_test(test_answers_lost),
 		cmocka_unit_test(test_orders_dropped),
+		cmocka_unit_test(test_conns_refused),
 		cmocka_unit_test(test_callers_leave),
 		cmocka_unit_test(test_refusals_do_not_loop),
 		cmocka_unit_test(test_retries_after_burst),
--- a/test/test_site.c
+++ b/test/test_site.c
@@ -475,7 +475,7 @@
 	site_listing_init(&listing);
 	nev.u.response.result = MLK_HTTP_NOT_SENT;
 	site_order_answer(MLK_ORDER_START, &nev, &ev, &listing);
-	assert_int_equal(ev.u.order.result, MLK_ORDER_CONN_REFUSED);
+	assert_int_equal(ev.u.order.result, MLK_ORDER_NOT_SENT);
 	nev.u.response.timed_out = true;
 	site_order_answer(MLK_ORDER_START, &nev, &ev, &listing);
 	assert_int_equal(ev.u.order.result, MLK_ORDER_NO_ANSWER);
