dispatch: a start that a crashed boot may have run is lost, not refused

Callers saw: 503 "not run; come back later" for jobs whose task had begun.

Cause: an unanswered start that a listing under a later fence does not show counted as never run. That holds within one boot of the worker; a listing of the next boot shows nothing of what the one before has run.

Change: a run notes the boot that its last start was sent to. If its start becomes void by a listing of a later boot, the run is reported as lost wherever it would be reported as busy or refused. Each void start is logged with the reason.

Test: test_start_before_a_crash_is_lost failed before ("0x3 != 0x4", REFUSED in place of LOST). prop_dispatch: 1,500 cases passed.

--- a/src/dispatch/runner_listing.c
+++ b/src/dispatch/runner_listing.c
@@ -78,13 +78,22 @@
 }
 
 /*
- * An unanswered start that is missing from a listing under a later fence has
- * not taken effect and never will.
+ * An unanswered start that is missing from a listing under a later fence will
+ * not take effect any more.  A listing of the same boot also shows that it
+ * never has; one of a later boot does not, as an earlier boot may have begun
+ * the run and ended with it.
  */
 static void
 void_start(struct mlk_runner *r, struct run *run)
 {
 	r->counters.starts_void++;
+	if (run->boot != r->worker.boot)
+		run->may_have_run = true;
+	runner_log(r, MLK_LOG_INFO, run,
+	    "start of %u.%u is void: not listed under fence %" PRIu64 "; %s",
+	    run->name.step, run->name.index, r->worker.fence,
+	    run->may_have_run ? "an earlier boot may have run it" :
+				"it has not run");
 	if (!runner_may_start_again(r, run)) {
 		runner_run_ended(r, run, MLK_RUN_REFUSED);
 		return;
--- a/src/dispatch/runner_orders.c
+++ b/src/dispatch/runner_orders.c
@@ -66,6 +66,7 @@
 	order->lease_until_ms = runner_lease_until(r, &sent->leases_expired_at);
 	run->state = RUN_STARTING;
 	run->fence = order->fence;
+	run->boot = r->worker.boot;
 	run->sent_at = r->now;
 	run->tries++;
 	r->counters.starts++;
--- a/src/dispatch/runner_priv.h
+++ b/src/dispatch/runner_priv.h
@@ -154,6 +154,9 @@
 	int64_t deadline; /* the run is stopped at this time */
 	uint64_t order; /* START or STOP in flight; 0: none */
 	uint64_t fence; /* of the last start */
+	uint64_t boot; /* of the worker, at the last start */
+	bool may_have_run; /* a start may have been carried out by a boot that
+			      has ended: the task is not reported as not run */
 	uint32_t tries; /* starts sent so far */
 	int64_t sent_at; /* of the last start */
 	int64_t confirmed_at; /* first seen active; 0: not yet */
--- a/src/dispatch/runner_runs.c
+++ b/src/dispatch/runner_runs.c
@@ -70,10 +70,15 @@
 
 /*
  * Removes a run from the table, releases its resources and reports its end.
+ * BUSY and REFUSED mean that the task has not run; if an earlier start may have
+ * been carried out, LOST is reported in their place.
  */
 void
 runner_run_ended(struct mlk_runner *r, struct run *run, enum mlk_run_end end)
 {
+	if (run->may_have_run &&
+	    (end == MLK_RUN_BUSY || end == MLK_RUN_REFUSED))
+		end = MLK_RUN_LOST;
 	mlk_resources_subtract(&r->reserved, &run->resources);
 	r->nactive--;
 	count_end(r, end);
--- a/test/test_runner_fence.c
+++ b/test/test_runner_fence.c
@@ -31,6 +31,8 @@
 	uint32_t accepted; /* orders that the worker accepted */
 	uint32_t starts; /* of them starts */
 	enum mlk_worker_state state; /* last reported */
+	uint32_t ends; /* results reported to the entry */
+	enum mlk_run_end last_end;
 };
 
 /* An order on its way to the worker. */
@@ -48,6 +50,8 @@
 	int64_t run_ended_at; /* at the worker; 0: none has ended */
 	uint64_t silent_start; /* last start without an answer; 0: none */
 	bool starts_silent; /* starts are carried out and not answered */
+	bool crashes_at_start; /* the worker carries out a start, crashes and
+				  is back at once under its id */
 	bool dark; /* no order arrives */
 	uint32_t task_cpu; /* of the tasks that the entry sends */
 };
@@ -72,6 +76,9 @@
 		break;
 	case MLK_MSG_ENDS:
 		a->last_sent_at = msg->u.ends.sent_at;
+		a->ends += msg->u.ends.n;
+		if (msg->u.ends.n > 0)
+			a->last_end = msg->u.ends.items[msg->u.ends.n - 1].end;
 		break;
 	default:
 		break;
@@ -102,6 +109,19 @@
 	mlk_runner_effects_free(&fx);
 }
 
+/*
+ * The worker crashes and starts again under its id.
+ */
+static void
+restart_worker(struct bench *t)
+{
+	char id[MLK_NAME_MAX];
+
+	(void)g_strlcpy(id, t->worker.id, sizeof(id));
+	fake_worker_init(&t->worker, id, t->worker.boot + 1000,
+	    t->worker.capacity.cpu, t->now);
+}
+
 /*
  * Carries out the orders that were sent before this tick.  The result for a
  * paused agent is kept until it resumes.
@@ -139,6 +159,13 @@
 			    pending.order.type == MLK_ORDER_START;
 		}
 		note_worker(t);
+		if (t->crashes_at_start &&
+		    pending.order.type == MLK_ORDER_START) {
+			t->silent_start = pending.order.order;
+			t->crashes_at_start = false;
+			restart_worker(t);
+			continue;
+		}
 		if (t->starts_silent && pending.order.type == MLK_ORDER_START) {
 			t->silent_start = pending.order.order;
 			continue;
@@ -430,16 +457,13 @@
 test_restart_with_less_capacity(void **state)
 {
 	struct bench *t = *state;
-	char id[MLK_NAME_MAX];
-
 	t->task_cpu = 8000;
 	t->dark = true;
 	send_runs(t, &t->a, TASKS_MAX);
 	advance(t, 100, NULL);
 	assert_int_equal(t->a.starts, 0);
-	(void)g_strlcpy(id, t->worker.id, sizeof(id));
-	fake_worker_init(&t->worker, id, t->worker.boot + 1000,
-	    TASKS_MAX * 8000 / 2, t->now);
+	t->worker.capacity.cpu = TASKS_MAX * 8000 / 2;
+	restart_worker(t);
 	t->dark = false;
 	announce(t, &t->a);
 	advance(t, 500, NULL);
@@ -447,6 +471,29 @@
 	assert_int_equal(t->worker.nruns, TASKS_MAX / 2);
 }
 
+/*
+ * Guards against a started task that is reported as not run, so that its job is
+ * answered as refused: the worker carries out the start and crashes before it
+ * answers, and its next boot does not list the run.
+ */
+static void
+test_start_before_a_crash_is_lost(void **state)
+{
+	struct bench *t = *state;
+	struct mlk_runner_event late = { .type = MLK_RUNNER_ORDER };
+
+	t->crashes_at_start = true;
+	send_run(t, &t->a);
+	assert_int_equal(t->a.starts, 1);
+	late.u.order.order = t->silent_start;
+	late.u.order.result = MLK_ORDER_NO_ANSWER;
+	apply(t, &t->a, &late);
+	advance(t, 500, NULL);
+	assert_int_equal(t->a.ends, 1);
+	assert_int_equal(t->a.last_end, MLK_RUN_LOST);
+	assert_int_equal(t->worker.nruns, 0);
+}
+
 /*
  * Guards against unanswered starts that are repeated on a worker that has begun
  * to drain meanwhile.
@@ -469,6 +516,8 @@
 	advance(t, 500, NULL);
 	assert_int_equal(t->a.starts, 0);
 	assert_int_equal(t->worker.nruns, 0);
+	assert_int_equal(t->a.ends, 1);
+	assert_int_equal(t->a.last_end, MLK_RUN_REFUSED);
 }
 
 /*
@@ -511,6 +560,8 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test_setup_teardown(
 		    test_restart_with_less_capacity, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_start_before_a_crash_is_lost, setup, teardown),
 		cmocka_unit_test_setup_teardown(
 		    test_no_repeated_start_while_draining, setup, teardown),
 		cmocka_unit_test_setup_teardown(
