dispatch: a worker's notice that it leaves ends no run

Callers saw: a task twice at the same time, when a worker that said that it leaves got no answer.

Cause: 0.1 s after the notice all runs of the worker counted as ended, and it was no longer listed. A worker ends only once its notice has been acknowledged; without an answer it goes on for seconds.

Change: on the notice the agent stops what is at work and goes on listing the worker. It acknowledges the notice when every run has ended in a listing, at the latest after 0.3 s. Runs that cannot be stopped are kept until their leases have expired.

--- a/include/monsoonlock/dispatch.h
+++ b/include/monsoonlock/dispatch.h
@@ -172,7 +172,8 @@
 	MLK_RUNNER_MSG,
 	MLK_RUNNER_ENTRIES, /* discovered addresses of entries */
 	MLK_RUNNER_ANNOUNCED,
-	MLK_RUNNER_LEFT, /* the worker reported that it is exiting */
+	MLK_RUNNER_LEFT, /* the worker reported that it is exiting, as it may
+			    once this is acknowledged */
 	MLK_RUNNER_ORDER, /* result of an order */
 	MLK_RUNNER_TICK,
 	MLK_RUNNER_STOP, /* planned stop (graceful shutdown) */
@@ -196,6 +197,7 @@
 		} entries;
 		const struct mlk_announcement *announced;
 		struct {
+			uint64_t request; /* returned with ACK */
 			char worker[MLK_NAME_MAX];
 		} left;
 		struct {
@@ -216,7 +218,7 @@
 	MLK_RUNNER_FX_CONNECT,
 	MLK_RUNNER_FX_CLOSE,
 	MLK_RUNNER_FX_ORDER,
-	MLK_RUNNER_FX_ACK, /* one for each announcement */
+	MLK_RUNNER_FX_ACK, /* one for each ANNOUNCED, at once, and LEFT */
 	MLK_RUNNER_FX_LOG,
 	MLK_RUNNER_FX_EXIT,
 };
@@ -238,7 +240,7 @@
 		struct mlk_order order;
 		struct {
 			uint64_t request;
-			bool accepted; /* false: the announcement is ignored */
+			bool accepted; /* false: an announcement is ignored */
 		} ack;
 		struct mlk_decision log;
 	} u;
--- a/src/dispatch/runner.c
+++ b/src/dispatch/runner.c
@@ -206,6 +206,7 @@
 	if ((r->runs->len == 0 && r->worker.ack_sent >= r->worker.acked) ||
 	    r->now >= r->stop_at) {
 		r->exited = true;
+		runner_ack_notice(r);
 		(void)mlk_runner_push(r->out, MLK_RUNNER_FX_EXIT);
 	}
 }
@@ -233,7 +234,7 @@
 		runner_announced(r, ev->u.announced);
 		break;
 	case MLK_RUNNER_LEFT:
-		runner_left(r, ev->u.left.worker);
+		runner_left(r, ev->u.left.worker, ev->u.left.request);
 		break;
 	case MLK_RUNNER_ORDER:
 		runner_order_ended(r, ev);
@@ -265,6 +266,7 @@
 	runner_take_over_due(r);
 	runner_health_due(r);
 	runner_worker_due(r);
+	runner_leave_due(r);
 	runner_links_due(r);
 	runner_runs_due(r);
 	runner_offers_due(r);
--- a/src/dispatch/runner_listing.c
+++ b/src/dispatch/runner_listing.c
@@ -212,7 +212,10 @@
 	uint32_t slot;
 	bool away;
 
-	if (!w->known || w->left_at != 0 || runner_superseded(r))
+	if (!w->known || runner_superseded(r))
+		return;
+	/* A worker that has left without runs need not be watched. */
+	if (w->left_at != 0 && r->nactive == 0 && w->acked <= w->ack_sent)
 		return;
 	away = runner_away(r);
 	/*
--- a/src/dispatch/runner_priv.h
+++ b/src/dispatch/runner_priv.h
@@ -43,8 +43,12 @@
  */
 #define LIST_HEDGE_NS (30 * MS)
 #define LISTS_MAX 2
-/* This long after the worker's notice that it exits, its runs count as lost. */
-#define LEFT_NS (100 * MS)
+/*
+ * The notice of a worker that it exits is acknowledged when its runs have
+ * ended, at the latest after this time: long enough to repeat a lost stop, and
+ * well below the second that a worker waits for an answer.
+ */
+#define LEAVE_ACK_NS (300 * MS)
 /* A listing waits this long for an end; bounds the age of progress data. */
 #define LIST_WAIT_MS 100
 /*
@@ -209,6 +213,8 @@
 	struct mlk_worker_info info; /* as last announced */
 	uint64_t seq;
 	int64_t left_at; /* time of its notice that it exits; 0: none */
+	uint64_t notice; /* request of that notice, if unacknowledged */
+	bool notice_pending;
 	int64_t clock_ms; /* worker's clock at the local time clock_at; 0:
 			     unknown */
 	int64_t clock_at;
@@ -339,7 +345,9 @@
 void runner_candidate_listed(
     struct mlk_runner *r, const struct mlk_runner_event *ev);
 void runner_disowned(struct mlk_runner *r, const struct order *order);
-void runner_left(struct mlk_runner *r, const char *worker);
+void runner_left(struct mlk_runner *r, const char *worker, uint64_t request);
+void runner_leave_due(struct mlk_runner *r);
+void runner_ack_notice(struct mlk_runner *r);
 void runner_answered(struct mlk_runner *r);
 void runner_unanswered(struct mlk_runner *r, bool sent);
 void runner_worker_due(struct mlk_runner *r);
--- a/src/dispatch/runner_worker.c
+++ b/src/dispatch/runner_worker.c
@@ -204,20 +204,24 @@
 	return (true);
 }
 
-void
-runner_announced(struct mlk_runner *r, const struct mlk_announcement *a)
+static void
+push_ack(struct mlk_runner *r, uint64_t request, bool accepted)
 {
 	struct mlk_runner_effect *fx;
-	bool accepted;
 
-	accepted = announcement_apply(r, a);
 	fx = mlk_runner_push(r->out, MLK_RUNNER_FX_ACK);
 	if (fx == NULL)
 		g_error("out of memory");
-	fx->u.ack.request = a->request;
+	fx->u.ack.request = request;
 	fx->u.ack.accepted = accepted;
 }
 
+void
+runner_announced(struct mlk_runner *r, const struct mlk_announcement *a)
+{
+	push_ack(r, a->request, announcement_apply(r, a));
+}
+
 /*
  * Asks the worker for the announced identity that waits for confirmation.
  */
@@ -280,20 +284,61 @@
 }
 
 /*
- * Handles the worker's notice that it exits; its runs end with it.
+ * Acknowledges the worker's notice that it exits, if that is still to be done.
  */
 void
-runner_left(struct mlk_runner *r, const char *worker)
+runner_ack_notice(struct mlk_runner *r)
+{
+	struct worker *w = &r->worker;
+
+	if (!w->notice_pending)
+		return;
+	w->notice_pending = false;
+	push_ack(r, w->notice, true);
+}
+
+/*
+ * Handles the worker's notice that it exits.  It may go on for seconds, as the
+ * acknowledgement may be lost, so the notice alone ends no run.
+ */
+void
+runner_left(struct mlk_runner *r, const char *worker, uint64_t request)
 {
 	struct worker *w = &r->worker;
 
 	if (strcmp(worker, w->candidate.announced.info.id) == 0)
 		w->candidate.pending = false;
-	if (!w->known || strcmp(worker, w->info.id) != 0)
+	if (!w->known || strcmp(worker, w->info.id) != 0) {
+		push_ack(r, request, true);
 		return;
+	}
+	runner_ack_notice(r);
 	if (w->left_at == 0)
 		w->left_at = r->now;
-	runner_log(r, MLK_LOG_NOTICE, NULL, "the worker has left");
+	w->notice = request;
+	w->notice_pending = true;
+	runner_log(r, MLK_LOG_NOTICE, NULL,
+	    "the worker says that it leaves, %u runs active", r->nactive);
+}
+
+/*
+ * Stops the runs of a worker that leaves, so that their tasks can be started
+ * elsewhere as soon as their ends are listed, and then acknowledges its notice.
+ */
+void
+runner_leave_due(struct mlk_runner *r)
+{
+	struct worker *w = &r->worker;
+	guint i;
+
+	if (w->left_at != 0) {
+		for (i = r->runs->len; i > 0; i--)
+			runner_run_stop(r, g_ptr_array_index(r->runs, i - 1),
+			    MLK_RUN_STOPPED);
+	}
+	if (w->left_at == 0 || r->nactive == 0 ||
+	    r->now - w->left_at >= LEAVE_ACK_NS)
+		runner_ack_notice(r);
 }
 
 /*
@@ -396,8 +441,6 @@
 		    "another agent has the worker, and every lease has run "
 		    "out");
 	}
-	if (w->left_at != 0 && r->nactive > 0 && r->now - w->left_at >= LEFT_NS)
-		runner_runs_lost(r, "the worker has left");
 	/*
 	 * No earlier agent has renewed a lease since this one started, so after
 	 * the time of a lease none of its runs is left.
--- a/test/dispatch_world.c
+++ b/test/dispatch_world.c
@@ -21,6 +21,10 @@
 /* Enough for three attempts of the longest deadline. */
 #define SETTLE_MS 200000
 #define SETTLE_STEP_MS 2000
+#define DRAIN_MS 300 /* shorter than many tasks */
+/* A worker whose notice to leave is not answered ends after this time. */
+#define LEAVE_MIN_MS 200
+#define LEAVE_MAX_MS 3000
 #define LATE_MIN_MS 60 /* delay of a late order */
 #define ORDER_DROP_PERCENT 40
 #define CONN_REFUSED_PERCENT 40
@@ -45,7 +49,9 @@
 	EV_CALLER_GONE, /* an entry learns that a caller disconnected */
 	EV_FAULT,
 	EV_RESTART, /* a process or a worker starts again */
-	EV_RESUME, /* not used */
+	EV_WORKER_LEAVES, /* a draining worker sends its notice to leave */
+	EV_NOTICE, /* the notice reaches the agent */
+	EV_WORKER_LEFT, /* a leaving worker ends */
 	EV_ARRIVAL, /* a new job */
 };
 
@@ -125,6 +131,9 @@
 				   orders get no answer */
 	uint64_t seen_end; /* number of the last end processed */
 	uint64_t announce_seq;
+	bool draining; /* the worker is */
+	uint64_t notice; /* request of its notice to leave */
+	uint32_t down_ms; /* after it has left */
 	GArray *waiting_lists; /* struct event; list orders that wait */
 	int64_t stall_until;
 	int64_t slow_until;
@@ -358,6 +367,8 @@
 	a->worker.clock_rate = 0.98 + below(w, 20) / 1000.0;
 	a->seen_end = 0;
 	a->announce_seq = 0;
+	a->draining = false;
+	a->notice = 0;
 	(void)push(w, w->now + below(w, 200), EV_ANNOUNCE, i);
 }
 
@@ -856,6 +867,11 @@
 			log_decision(w, "agent-", i, &f->u.log);
 			break;
 		case MLK_RUNNER_FX_ACK:
+			if (f->u.ack.request != 0 &&
+			    f->u.ack.request == w->agents[i].notice)
+				push(w, w->now + 1, EV_WORKER_LEFT, i)->boot =
+				    w->agents[i].worker.boot;
+			break;
 		case MLK_RUNNER_FX_EXIT:
 			break;
 		}
@@ -1173,6 +1189,53 @@
 	}
 }
 
+/*
+ * A draining worker sends its notice to leave.  If the answer is lost or comes
+ * too late, it ends some time later.
+ */
+static void
+on_worker_leaves(struct world *w, const struct event *ev)
+{
+	struct world_agent *a = &w->agents[ev->index];
+	struct event *notice;
+
+	if (!a->worker.up || a->worker.boot != ev->boot)
+		return;
+	push(w, w->now + LEAVE_MIN_MS + below(w, LEAVE_MAX_MS - LEAVE_MIN_MS),
+	    EV_WORKER_LEFT, ev->index)
+	    ->boot = ev->boot;
+	notice = push(w, w->now + 1, EV_NOTICE, ev->index);
+	(void)g_strlcpy(
+	    notice->order.worker, a->worker.id, sizeof(notice->order.worker));
+	notice->generation = a->generation;
+	notice->request = ++w->last_request;
+	if (below(w, 2) == 0)
+		a->notice = notice->request;
+}
+
+static void
+on_notice(struct world *w, const struct event *ev)
+{
+	struct mlk_runner_event rev = { .type = MLK_RUNNER_LEFT };
+
+	if (!w->agents[ev->index].up ||
+	    w->agents[ev->index].generation != ev->generation)
+		return;
+	(void)g_strlcpy(
+	    rev.u.left.worker, ev->order.worker, sizeof(rev.u.left.worker));
+	rev.u.left.request = ev->request;
+	apply_agent(w, ev->index, &rev);
+}
+
+static void
+on_worker_left(struct world *w, const struct event *ev)
+{
+	struct world_agent *a = &w->agents[ev->index];
+
+	if (a->worker.up && a->worker.boot == ev->boot)
+		stop_worker(w, ev->index, below(w, 2) == 0, a->down_ms);
+}
+
 /*
  * Extends a fault to `ms` from now; never shortens it.
  */
@@ -1183,6 +1246,25 @@
 		*until = now + ms;
 }
 
+/*
+ * Worker i announces itself to its agent.
+ */
+static void
+announce(struct world *w, uint32_t i)
+{
+	struct mlk_runner_event rev = { .type = MLK_RUNNER_ANNOUNCED };
+	struct world_agent *a = &w->agents[i];
+	struct mlk_announcement announcement;
+
+	if (!a->worker.up || !a->up)
+		return;
+	fake_worker_announce(&a->worker, ++a->announce_seq, &announcement);
+	if (a->draining)
+		announcement.info.state = MLK_WORKER_DRAINING;
+	rev.u.announced = &announcement;
+	apply_agent(w, i, &rev);
+}
+
 /*
  * Another writer sends an agent announcements of later boots: for another pool,
  * under another id, and under the id of the worker.
@@ -1249,6 +1331,13 @@
 	case WORLD_WORKER_RESTART:
 		stop_worker(w, b, ev->fault == WORLD_WORKER_RESTART, ev->ms);
 		break;
+	case WORLD_WORKER_LEAVES:
+		w->agents[b].down_ms = ev->ms;
+		w->agents[b].draining = true;
+		announce(w, b);
+		push(w, w->now + DRAIN_MS, EV_WORKER_LEAVES, b)->boot =
+		    w->agents[b].worker.boot;
+		break;
 	case WORLD_WORKER_STALL:
 		extend(&w->agents[b].stall_until, w->now, ev->ms);
 		break;
@@ -1342,18 +1431,10 @@
 static void
 on_announce(struct world *w, const struct event *ev)
 {
-	struct mlk_runner_event rev = { .type = MLK_RUNNER_ANNOUNCED };
-	struct world_agent *a = &w->agents[ev->index];
-	struct mlk_announcement announcement;
-
-	if (!a->worker.up)
+	if (!w->agents[ev->index].worker.up)
 		return;
 	(void)push(w, w->now + ANNOUNCE_MS, EV_ANNOUNCE, ev->index);
-	if (!a->up)
-		return;
-	fake_worker_announce(&a->worker, ++a->announce_seq, &announcement);
-	rev.u.announced = &announcement;
-	apply_agent(w, ev->index, &rev);
+	announce(w, ev->index);
 }
 
 static void
@@ -1381,6 +1462,7 @@
 	case EV_TICK_AGENT:
 	case EV_ORDER_RESULT:
 	case EV_ANNOUNCE:
+	case EV_NOTICE:
 		return (w->agents[ev->index].paused_until);
 	case EV_MSG:
 	case EV_LINK_DOWN:
@@ -1448,7 +1530,14 @@
 	case EV_ARRIVAL:
 		on_arrival(w);
 		break;
-	case EV_RESUME:
+	case EV_WORKER_LEAVES:
+		on_worker_leaves(w, ev);
+		break;
+	case EV_NOTICE:
+		on_notice(w, ev);
+		break;
+	case EV_WORKER_LEFT:
+		on_worker_left(w, ev);
 		break;
 	}
 }
--- a/test/dispatch_world.h
+++ b/test/dispatch_world.h
@@ -41,6 +41,9 @@
 	WORLD_WORKER_FAILS, /* runs at b that end in this time fail */
 	WORLD_WORKER_SILENT, /* no order to b is answered; about half of them
 				arrive only when the fault is over */
+	WORLD_WORKER_LEAVES, /* b drains, sends its notice to leave, ends once
+				that is answered or some time later, and is
+				down for ms */
 	WORLD_ORDERS_LATE, /* some orders to b get no answer and arrive late */
 	WORLD_ANSWERS_LOST, /* some orders to b are carried out, but get no
 				answer */
--- a/test/test_runner.c
+++ b/test/test_runner.c
@@ -105,6 +105,8 @@
 FAULT_TEST(test_agent_short_pause, WORLD_AGENT_PAUSE, 950, 90)
 FAULT_TEST(test_worker_crash, WORLD_WORKER_CRASH, FAULT_MS, 85)
 FAULT_TEST(test_worker_restart, WORLD_WORKER_RESTART, 300, 85)
+/* Also guards against runs of a leaving worker that are started elsewhere. */
+FAULT_TEST(test_worker_leaves, WORLD_WORKER_LEAVES, FAULT_MS, 85)
 FAULT_TEST(test_worker_stall, WORLD_WORKER_STALL, FAULT_MS, 85)
 FAULT_TEST(test_worker_slow, WORLD_WORKER_SLOW, FAULT_MS, 85)
 FAULT_TEST(test_worker_fails, WORLD_WORKER_FAILS, FAULT_MS, 85)
@@ -267,6 +269,7 @@
 		cmocka_unit_test(test_worker_restart),
 		cmocka_unit_test(test_foreign_announcements),
 		cmocka_unit_test(test_foreign_announcement_first),
+		cmocka_unit_test(test_worker_leaves),
 		cmocka_unit_test(test_worker_stall),
 		cmocka_unit_test(test_worker_slow),
 		cmocka_unit_test(test_worker_fails),
--- a/test/test_runner_fence.c
+++ b/test/test_runner_fence.c
@@ -33,6 +33,7 @@
 	enum mlk_worker_state state; /* last reported */
 	uint32_t ends; /* results reported to the entry */
 	enum mlk_run_end last_end;
+	uint32_t acks; /* answers to the worker */
 };
 
 /* An order on its way to the worker. */
@@ -103,6 +104,8 @@
 			(void)g_array_append_val(t->pending, pending);
 		} else if (fx.items[i].type == MLK_RUNNER_FX_SEND)
 			note_message(a, &fx.items[i].u.send.msg);
+		else if (fx.items[i].type == MLK_RUNNER_FX_ACK)
+			a->acks++;
 		else if (fx.items[i].type == MLK_RUNNER_FX_CONNECT)
 			a->connect = fx.items[i].u.connect.connect;
 	}
@@ -520,6 +523,95 @@
 	assert_int_equal(t->a.last_end, MLK_RUN_REFUSED);
 }
 
+/*
+ * The worker drains, and then says that it leaves.
+ */
+static void
+leave(struct bench *t)
+{
+	struct mlk_runner_event ev = { .type = MLK_RUNNER_ANNOUNCED };
+	struct mlk_runner_event left = { .type = MLK_RUNNER_LEFT };
+	struct mlk_announcement announcement;
+
+	fake_worker_announce(&t->worker, ++t->announce_seq, &announcement);
+	announcement.info.state = MLK_WORKER_DRAINING;
+	ev.u.announced = &announcement;
+	apply(t, &t->a, &ev);
+	advance(t, 2000, NULL);
+	t->a.acks = 0;
+	(void)g_strlcpy(
+	    left.u.left.worker, t->worker.id, sizeof(left.u.left.worker));
+	left.u.left.request = 1;
+	apply(t, &t->a, &left);
+}
+
+/*
+ * Guards against a run that is reported as lost while it is at work: its worker
+ * has said that it leaves, and answers nothing any more, but goes on.
+ */
+static void
+test_leaving_worker_keeps_its_lease(void **state)
+{
+	struct bench *t = *state;
+
+	send_run(t, &t->a);
+	leave(t);
+	t->dark = true;
+	while (t->worker.nruns > 0) {
+		assert_int_equal(t->a.ends, 0);
+		advance(t, TICK_MS, NULL);
+	}
+	advance(t, 400, NULL);
+	assert_int_equal(t->a.ends, 1);
+}
+
+/*
+ * Guards against tasks that wait for the leases of a worker which has left: its
+ * notice is answered only when its runs have been stopped and listed.
+ */
+static void
+test_leaving_worker_hands_over(void **state)
+{
+	struct bench *t = *state;
+
+	send_run(t, &t->a);
+	leave(t);
+	assert_int_equal(t->a.acks, 0);
+	advance(t, 200, NULL);
+	assert_int_equal(t->worker.nruns, 0);
+	assert_int_equal(t->a.ends, 1);
+	assert_int_equal(t->a.last_end, MLK_RUN_STOPPED);
+	assert_int_equal(t->a.acks, 1);
+	assert_int_equal(t->a.state, MLK_WORKER_UNAVAILABLE);
+}
+
+/*
+ * Guards against a notice to leave without an answer: the worker leaves with
+ * nothing at work.
+ */
+static void
+test_notice_to_leave_is_answered(void **state)
+{
+	struct bench *t = *state;
+
+	leave(t);
+	assert_int_equal(t->a.acks, 1);
+}
+
+/* The same, with a run that cannot be stopped. */
+static void
+test_notice_with_a_run_is_answered(void **state)
+{
+	struct bench *t = *state;
+
+	send_run(t, &t->a);
+	leave(t);
+	t->dark = true;
+	advance(t, 500, NULL);
+	assert_int_equal(t->a.ends, 0);
+	assert_int_equal(t->a.acks, 1);
+}
+
 /*
  * Guards against the use of a run that is freed: its start has no answer, a
  * listing shows it active, it is stopped and ends, and then the start times
@@ -564,6 +656,14 @@
 		    test_start_before_a_crash_is_lost, setup, teardown),
 		cmocka_unit_test_setup_teardown(
 		    test_no_repeated_start_while_draining, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_leaving_worker_keeps_its_lease, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_leaving_worker_hands_over, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_notice_to_leave_is_answered, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_notice_with_a_run_is_answered, setup, teardown),
 		cmocka_unit_test_setup_teardown(
 		    test_superseded_agent_gives_no_orders, setup, teardown),
 		cmocka_unit_test_setup_teardown(
