--- a/test/test_site.c
+++ b/test/test_site.c
@@ -732,6 +732,41 @@
 	assert_int_equal(routing.version, 0);
 }
 
+#define MS ((int64_t)MLK_NSEC_PER_MSEC)
+#define TICK_MS 20 /* of the programs */
+/* From a stall on, until a process is in touch with the store again. */
+#define CONTACT_MS 3000
+#define STORE_ANSWER_MS 100 /* for a new connection and an answer */
+
+/*
+ * Guards against routing changes that take effect too late after the open
+ * connections to the store have gone silent, just when a call was sent.
+ */
+static void
+test_stalled_store_is_noticed(void **state)
+{
+	struct mlk_watch w;
+	int64_t now, stalled_at;
+	uint64_t seed;
+
+	(void)state;
+	for (seed = 1; seed <= 100; seed++) {
+		mlk_watch_init(&w, seed, SITE_ROUTES_POLL_WAIT_MS);
+		assert_int_equal(mlk_watch_due(&w, 0), MLK_WATCH_READ);
+		mlk_watch_ended(&w, MLK_WATCH_ROWS, 5, 0);
+		stalled_at = TICK_MS * MS;
+		assert_int_equal(
+		    mlk_watch_due(&w, stalled_at), MLK_WATCH_FOLLOW);
+		now = stalled_at + (int64_t)w.timeout_ms * MS;
+		mlk_watch_ended(&w, MLK_WATCH_UNAVAILABLE, 0, now);
+		while (mlk_watch_due(&w, now) == MLK_WATCH_NONE)
+			now += TICK_MS * MS;
+		assert_int_equal(w.wait_ms, 0);
+		assert_true(
+		    now - stalled_at <= (CONTACT_MS - STORE_ANSWER_MS) * MS);
+	}
+}
+
 int
 main(void)
 {
@@ -753,6 +788,7 @@
 		cmocka_unit_test(test_rows_odd),
 		cmocka_unit_test(test_entry_address),
 		cmocka_unit_test(test_routing),
+		cmocka_unit_test(test_stalled_store_is_noticed),
 	};
 
 	return (cmocka_run_group_tests(tests, NULL, NULL));
