dispatch: ignore a notice to leave unless the worker's present life drains

Callers saw: a task twice at the same time, after a worker had left behind a partition and was back under its id.

Cause: the notice carries an id and no boot, and the agent compared the id alone.

Change: a notice counts only if the present life has announced that it drains, as a worker does before it leaves; others are acknowledged, logged and ignored. The same holds for an announced life that the worker has not confirmed yet. A worker that announces itself as ready is in use again.

Test: test_notice_of_an_earlier_life ("0 != 0x1") and test_notice_beside_a_new_boot ("0x3 != 0") failed before.

--- a/src/dispatch/runner_worker.c
+++ b/src/dispatch/runner_worker.c
@@ -113,7 +113,8 @@
 
 	draining = a->info.state == MLK_WORKER_DRAINING &&
 	    (!w->known || w->info.state != MLK_WORKER_DRAINING);
-	if (!w->known || w->info.boot != a->info.boot)
+	if (!w->known || w->info.boot != a->info.boot ||
+	    a->info.state != MLK_WORKER_DRAINING)
 		w->left_at = 0;
 	if (w->boot < a->info.boot)
 		runner_note_boot(r, a->info.boot);
@@ -297,6 +298,18 @@
 	push_ack(r, w->notice, true);
 }
 
+/*
+ * Tells whether a notice to exit under an id may be of this life of the worker,
+ * which it doesn't say.  A worker drains before it exits, so a notice of one
+ * that doesn't is a delayed one of an earlier life.
+ */
+static bool
+may_exit(const struct mlk_worker_info *info, const char *id)
+{
+	return (
+	    info->state == MLK_WORKER_DRAINING && strcmp(info->id, id) == 0);
+}
+
 /*
  * Handles the worker's notice that it exits.  It may go on for seconds, as the
  * acknowledgement may be lost, so the notice alone ends no run.
@@ -306,9 +319,13 @@
 {
 	struct worker *w = &r->worker;
 
-	if (strcmp(worker, w->candidate.announced.info.id) == 0)
+	if (may_exit(&w->candidate.announced.info, worker))
 		w->candidate.pending = false;
-	if (!w->known || strcmp(worker, w->info.id) != 0) {
+	if (!w->known || !may_exit(&w->info, worker)) {
+		runner_log(r, MLK_LOG_NOTICE, NULL,
+		    "notice of %s that it leaves ignored: no such worker is "
+		    "draining",
+		    worker);
 		push_ack(r, request, true);
 		return;
 	}
--- a/test/dispatch_world.c
+++ b/test/dispatch_world.c
@@ -1189,6 +1189,21 @@
 	}
 }
 
+/*
+ * Schedules the arrival of a worker's notice to leave at its agent.
+ */
+static void
+push_notice(struct world *w, uint32_t i, int64_t at)
+{
+	struct event *ev;
+
+	ev = push(w, at, EV_NOTICE, i);
+	(void)g_strlcpy(
+	    ev->order.worker, w->agents[i].worker.id, sizeof(ev->order.worker));
+	ev->generation = w->agents[i].generation;
+	ev->request = ++w->last_request;
+}
+
 /*
  * A draining worker sends its notice to leave.  If the answer is lost or comes
  * too late, it ends some time later.
@@ -1197,20 +1212,15 @@
 on_worker_leaves(struct world *w, const struct event *ev)
 {
 	struct world_agent *a = &w->agents[ev->index];
-	struct event *notice;
 
 	if (!a->worker.up || a->worker.boot != ev->boot)
 		return;
 	push(w, w->now + LEAVE_MIN_MS + below(w, LEAVE_MAX_MS - LEAVE_MIN_MS),
 	    EV_WORKER_LEFT, ev->index)
 	    ->boot = ev->boot;
-	notice = push(w, w->now + 1, EV_NOTICE, ev->index);
-	(void)g_strlcpy(
-	    notice->order.worker, a->worker.id, sizeof(notice->order.worker));
-	notice->generation = a->generation;
-	notice->request = ++w->last_request;
+	push_notice(w, ev->index, w->now + 1);
 	if (below(w, 2) == 0)
-		a->notice = notice->request;
+		a->notice = w->last_request;
 }
 
 static void
@@ -1232,8 +1242,10 @@
 {
 	struct world_agent *a = &w->agents[ev->index];
 
-	if (a->worker.up && a->worker.boot == ev->boot)
-		stop_worker(w, ev->index, below(w, 2) == 0, a->down_ms);
+	if (!a->worker.up || a->worker.boot != ev->boot)
+		return;
+	stop_worker(w, ev->index, below(w, 2) == 0, a->down_ms);
+	push_notice(w, ev->index, w->now + below(w, 2 * LEAVE_MAX_MS));
 }
 
 /*
--- a/test/dispatch_world.h
+++ b/test/dispatch_world.h
@@ -43,7 +43,8 @@
 				arrive only when the fault is over */
 	WORLD_WORKER_LEAVES, /* b drains, sends its notice to leave, ends once
 				that is answered or some time later, and is
-				down for ms */
+				down for ms; the notice arrives once more, at
+				times when b is up again */
 	WORLD_ORDERS_LATE, /* some orders to b get no answer and arrive late */
 	WORLD_ANSWERS_LOST, /* some orders to b are carried out, but get no
 				answer */
--- a/test/test_runner_fence.c
+++ b/test/test_runner_fence.c
@@ -523,14 +523,10 @@
 	assert_int_equal(t->a.last_end, MLK_RUN_REFUSED);
 }
 
-/*
- * The worker drains, and then says that it leaves.
- */
 static void
-leave(struct bench *t)
+drain(struct bench *t)
 {
 	struct mlk_runner_event ev = { .type = MLK_RUNNER_ANNOUNCED };
-	struct mlk_runner_event left = { .type = MLK_RUNNER_LEFT };
 	struct mlk_announcement announcement;
 
 	fake_worker_announce(&t->worker, ++t->announce_seq, &announcement);
@@ -538,6 +534,16 @@
 	ev.u.announced = &announcement;
 	apply(t, &t->a, &ev);
 	advance(t, 2000, NULL);
+}
+
+/*
+ * The notice of the worker that it leaves arrives.
+ */
+static void
+notify_leave(struct bench *t)
+{
+	struct mlk_runner_event left = { .type = MLK_RUNNER_LEFT };
+
 	t->a.acks = 0;
 	(void)g_strlcpy(
 	    left.u.left.worker, t->worker.id, sizeof(left.u.left.worker));
@@ -545,6 +551,16 @@
 	apply(t, &t->a, &left);
 }
 
+/*
+ * The worker drains, and then says that it leaves.
+ */
+static void
+leave(struct bench *t)
+{
+	drain(t);
+	notify_leave(t);
+}
+
 /*
  * Guards against a run that is reported as lost while it is at work: its worker
  * has said that it leaves, and answers nothing any more, but goes on.
@@ -612,6 +628,49 @@
 	assert_int_equal(t->a.acks, 1);
 }
 
+/*
+ * Guards against a delayed notice to leave that ends the runs of a later life
+ * of the worker, under the same id, and takes that one out of use.
+ */
+static void
+test_notice_of_an_earlier_life(void **state)
+{
+	struct bench *t = *state;
+
+	drain(t);
+	restart_worker(t);
+	t->announce_seq = 0;
+	announce(t, &t->a);
+	advance(t, 200, NULL);
+	assert_int_equal(t->a.state, MLK_WORKER_READY);
+	send_run(t, &t->a);
+	notify_leave(t);
+	assert_int_equal(t->a.acks, 1);
+	advance(t, 1000, NULL);
+	assert_int_equal(t->a.ends, 0);
+	assert_int_equal(t->worker.nruns, 1);
+	assert_int_equal(t->a.state, MLK_WORKER_READY);
+}
+
+/*
+ * The same, before the worker has confirmed its announced boot: the notice must
+ * not make the agent forget the announcement.
+ */
+static void
+test_notice_beside_a_new_boot(void **state)
+{
+	struct bench *t = *state;
+
+	drain(t);
+	restart_worker(t);
+	t->announce_seq = 0;
+	announce(t, &t->a);
+	notify_leave(t);
+	advance(t, 200, NULL);
+	assert_int_equal(t->a.acks, 1);
+	assert_int_equal(t->a.state, MLK_WORKER_READY);
+}
+
 /*
  * Guards against the use of a run that is freed: its start has no answer, a
  * listing shows it active, it is stopped and ends, and then the start times
@@ -662,6 +721,10 @@
 		    test_leaving_worker_hands_over, setup, teardown),
 		cmocka_unit_test_setup_teardown(
 		    test_notice_to_leave_is_answered, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_notice_of_an_earlier_life, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_notice_beside_a_new_boot, setup, teardown),
 		cmocka_unit_test_setup_teardown(
 		    test_notice_with_a_run_is_answered, setup, teardown),
 		cmocka_unit_test_setup_teardown(
