platform: a server error does not prove that an order had no effect

A task could have been started twice, or its job answered as not run, if a worker began a run and answered the start with 500.

Cause: every status without a meaning counted as a rejection.

Test: test_order_status_without_meaning failed before ("0x5 != 0x9").

--- a/test/test_site.c
+++ b/test/test_site.c
@@ -459,6 +459,21 @@
 	assert_int_equal(start_result(503, ""), MLK_ORDER_UNHEALTHY);
 }
 
+/*
+ * Guards against a task that is started twice or reported as not run: a status
+ * that does not reject the order says nothing of whether it was carried out.
+ */
+static void
+test_order_status_without_meaning(void **state)
+{
+	(void)state;
+	assert_int_equal(start_result(500, "{}"), MLK_ORDER_NO_ANSWER);
+	assert_int_equal(start_result(502, ""), MLK_ORDER_NO_ANSWER);
+	assert_int_equal(start_result(504, ""), MLK_ORDER_NO_ANSWER);
+	assert_int_equal(start_result(302, ""), MLK_ORDER_NO_ANSWER);
+	assert_int_equal(start_result(404, ""), MLK_ORDER_INVALID);
+}
+
 /*
  * Guards against a task that is started twice: only a refused connection proves
  * that an order was not sent.  After a timeout or a lost connection the worker
@@ -781,6 +796,7 @@
 		cmocka_unit_test(test_deep_nesting),
 		cmocka_unit_test(test_order_bodies),
 		cmocka_unit_test(test_order_results),
+		cmocka_unit_test(test_order_status_without_meaning),
 		cmocka_unit_test(test_order_unanswered),
 		cmocka_unit_test(test_listing),
 		cmocka_unit_test(test_listing_odd_rows),
