net: block the handled signals first in main()

Callers saw: nothing; an entry or agent that got a SIGHUP just after its start was ended by it and started once more.

Cause: the signals were blocked when the event loop was created, after the settings had been read and the log opened.

--- a/include/monsoonlock/net.h
+++ b/include/monsoonlock/net.h
@@ -112,6 +112,12 @@
 	uint64_t received_bytes[MLK_MSG_TYPES];
 };
 
+/*
+ * Blocks SIGTERM, SIGINT and SIGHUP, which the loop handles, so that one that
+ * arrives earlier waits for it.  A program calls this first, with one thread.
+ * Returns 0 or MLK_ERR_IO.
+ */
+int mlk_loop_block_signals(void);
 struct mlk_loop *mlk_loop_create(
     const struct mlk_loop_options *options, struct mlk_error *err);
 void mlk_loop_destroy(struct mlk_loop *loop);
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -143,6 +143,8 @@
 	struct mlk_error err = { 0 };
 	int status;
 
+	if (mlk_loop_block_signals() != 0)
+		return (MLK_EXIT_FAILURE);
 	if (!mlk_args_parse("serves callers and operators, dispatches tasks",
 		&argc, &argv, &args, &status))
 		return (status);
--- a/src/net/loop.c
+++ b/src/net/loop.c
@@ -181,6 +181,24 @@
 	{ .name = NULL },
 };
 
+static void
+handled_signals(sigset_t *set)
+{
+	(void)sigemptyset(set);
+	(void)sigaddset(set, SIGTERM);
+	(void)sigaddset(set, SIGINT);
+	(void)sigaddset(set, SIGHUP);
+}
+
+int
+mlk_loop_block_signals(void)
+{
+	sigset_t mask;
+
+	handled_signals(&mask);
+	return (sigprocmask(SIG_BLOCK, &mask, NULL) != 0 ? MLK_ERR_IO : 0);
+}
+
 /*
  * Routes SIGTERM, SIGINT and SIGHUP to a signal descriptor, and ignores
  * SIGPIPE, which a write to a closed connection would raise.
@@ -192,10 +210,7 @@
 	sigset_t mask;
 
 	(void)signal(SIGPIPE, SIG_IGN);
-	(void)sigemptyset(&mask);
-	(void)sigaddset(&mask, SIGTERM);
-	(void)sigaddset(&mask, SIGINT);
-	(void)sigaddset(&mask, SIGHUP);
+	handled_signals(&mask);
 	if (sigprocmask(SIG_BLOCK, &mask, &loop->old_mask) != 0)
 		return (MLK_ERR_IO);
 	loop->signal_fd = signalfd(-1, &mask, SFD_NONBLOCK | SFD_CLOEXEC);
--- a/test/soak.h
+++ b/test/soak.h
@@ -129,6 +129,8 @@
 	bool stopped; /* by SIGSTOP */
 	bool exit_expected; /* it was told to stop or was killed */
 	int64_t start_at; /* ms; 0: not due */
+	int64_t started_at; /* ms */
+	bool hup_wanted; /* SIGHUP is to be sent once the program blocks it */
 	int64_t cont_at; /* SIGCONT, ms; 0: not due */
 	int64_t kill_at; /* SIGKILL after SIGTERM, ms; 0: not due */
 	uint64_t max_version_seen; /* of routing tables that this boot served */
