test: the soak plays workers that leave, and faults between agent and worker

Its workers never left, and nothing disturbed the connections to them.

Change: a worker drains, says that it leaves, ends when that is answered or some time later, and starts again under its id or a new one; its notice arrives once more up to 4 s later. The connections of an agent to its worker pass through the relay, which cuts, resets or silences them while the worker goes on.

--- a/test/soak.c
+++ b/test/soak.c
@@ -160,6 +160,10 @@
 	case SOAK_CALL_OLD_VERSION:
 		soak_old_version_answered(s, number, nev);
 		break;
+	case SOAK_CALL_LEAVE:
+		if (nev->u.response.result == MLK_HTTP_OK)
+			soak_worker_leave_answered(s, number);
+		break;
 	case SOAK_CALL_ANNOUNCE:
 		break;
 	}
--- a/test/soak.h
+++ b/test/soak.h
@@ -37,6 +37,7 @@
 enum soak_call {
 	SOAK_CALL_JOB, /* number: the number of the job */
 	SOAK_CALL_ANNOUNCE,
+	SOAK_CALL_LEAVE, /* number: worker and a serial number */
 	/* Requests for the route of a version; number: version and entry. */
 	SOAK_CALL_VERSION,
 	SOAK_CALL_SEEN_VERSION, /* the entry has already served this one */
@@ -61,6 +62,12 @@
 	uint32_t lost_answer_percent; /* of orders: done, not answered */
 	uint32_t late_start_percent; /* of starts: done late, not answered */
 	uint32_t over_capacity; /* count of all boots before this one */
+	bool draining;
+	int64_t leave_at; /* of the notice to leave, ms; 0: not due */
+	int64_t end_at; /* of a leaving worker, ms; 0: not due */
+	uint64_t leave_call; /* whose answer ends the worker; 0: none */
+	char late_id[MLK_NAME_MAX]; /* of a notice that arrives late */
+	int64_t late_at; /* ms; 0: none is due */
 };
 
 /* A start that is carried out with a delay, unless the worker restarts. */
@@ -244,6 +251,8 @@
 
 /* soak_workers.c */
 void soak_worker_start(struct soak *s, uint32_t i, bool same_id);
+void soak_worker_leave(struct soak *s, uint32_t i);
+void soak_worker_leave_answered(struct soak *s, uint64_t number);
 void soak_worker_request(
     struct soak *s, uint32_t i, const struct mlk_http_request *req);
 void soak_workers_tick(struct soak *s);
@@ -265,7 +274,9 @@
 void soak_links_destroy(struct soak *s);
 void soak_links_open_entry(struct soak *s, const struct soak_proc *p);
 const char *soak_links_open_store(struct soak *s, const struct soak_proc *p);
+const char *soak_links_open_worker(struct soak *s, const struct soak_proc *p);
 void soak_links_inject_fault(struct soak *s);
+void soak_links_inject_worker_fault(struct soak *s, uint32_t i);
 void soak_links_power_loss(struct soak *s, const char *id);
 void soak_links_tick(struct soak *s, bool heal);
 
--- a/test/soak_links.c
+++ b/test/soak_links.c
@@ -1,8 +1,8 @@
 /*
  * The network of the soak.  All links to entries and all connections to the
- * store pass through a relay, which cuts or delays them for a random time,
- * resets them, or silences them: a silenced connection stays open but delivers
- * nothing any more.
+ * store and to workers pass through a relay, which cuts or delays them for a
+ * random time, resets them, or silences them: a silenced connection stays open
+ * but delivers nothing any more.
  */
 #include <stdio.h>
 #include <string.h>
@@ -15,6 +15,8 @@
 #define FAULT_SPREAD_MS 3000U
 #define RESET_MS 20U /* duration of a reset; new connections are reset too */
 #define DELAY_MAX_MS 300U
+#define WORKER_FAULT_MIN_MS 5U
+#define WORKER_FAULT_SPREAD_MS 2000U
 
 void
 soak_links_create(struct soak *s)
@@ -55,6 +57,25 @@
 	return (relay_listen(s->relay, p->id, STORE, NULL, target));
 }
 
+static void
+worker_name(uint32_t i, char out[24])
+{
+	(void)snprintf(out, 24, "worker-%u", i);
+}
+
+/*
+ * Starts the relay from an agent to its worker, and returns its address.
+ */
+const char *
+soak_links_open_worker(struct soak *s, const struct soak_proc *p)
+{
+	char name[24], target[MLK_ADDR_MAX];
+
+	worker_name(p->index, name);
+	soak_agent_addr(s, p->index, SOAK_PORT_WORKERS + p->index, target);
+	return (relay_listen(s->relay, p->id, name, NULL, target));
+}
+
 /*
  * Cuts an entry or an agent off from all other programs, or ends that.
  */
@@ -127,6 +148,27 @@
 	(void)g_array_append_val(s->links, f);
 }
 
+/*
+ * Injects a random fault between worker i, which works on, and its agent: among
+ * others, its connections are reset for a while, and new ones closed at once.
+ */
+void
+soak_links_inject_worker_fault(struct soak *s, uint32_t i)
+{
+	static const enum soak_link_kind kinds[] = { SOAK_LINK_CUT,
+		SOAK_LINK_CUT_BACK, SOAK_LINK_CUT_BOTH, SOAK_LINK_RESET,
+		SOAK_LINK_RESET, SOAK_LINK_SILENCE };
+	struct soak_link_fault f = { 0 };
+
+	f.kind = kinds[soak_random(s, G_N_ELEMENTS(kinds))];
+	f.until = s->now + WORKER_FAULT_MIN_MS +
+	    soak_random(s, WORKER_FAULT_SPREAD_MS);
+	(void)g_strlcpy(f.a, s->procs[s->options.entries + i].id, sizeof(f.a));
+	worker_name(i, f.b);
+	fault_set(s, &f, true);
+	(void)g_array_append_val(s->links, f);
+}
+
 /*
  * Simulates a power loss: the connections of a program deliver nothing more,
  * and its peers see no end of them.
--- a/test/soak_procs.c
+++ b/test/soak_procs.c
@@ -56,16 +56,16 @@
 }
 
 static void
-write_agent(struct soak *s, FILE *f, uint32_t i)
+write_agent(struct soak *s, FILE *f, const struct soak_proc *p)
 {
 	char addr[MLK_ADDR_MAX];
 
 	(void)fprintf(f, "links: {port: %u}\n", s->port + SOAK_PORT_LINKS);
-	soak_agent_addr(s, i, SOAK_PORT_WORKERS + i, addr);
-	(void)fprintf(f, "worker: {address: \"%s\"}\n", addr);
-	soak_agent_addr(s, i, SOAK_PORT_CONTROL, addr);
+	(void)fprintf(
+	    f, "worker: {address: \"%s\"}\n", soak_links_open_worker(s, p));
+	soak_agent_addr(s, p->index, SOAK_PORT_CONTROL, addr);
 	(void)fprintf(f, "announcements: {listen: \"%s\"}\n", addr);
-	soak_agent_addr(s, i, SOAK_PORT_METRICS, addr);
+	soak_agent_addr(s, p->index, SOAK_PORT_METRICS, addr);
 	(void)fprintf(f, "metrics: {listen: \"%s\"}\n", addr);
 }
 
@@ -85,7 +85,7 @@
 	if (p->entry)
 		write_entry(s, f, p->index);
 	else
-		write_agent(s, f, p->index);
+		write_agent(s, f, p);
 	(void)fprintf(f,
 	    "store: {address: \"%s\"}\n"
 	    "timing: {grace_s: %d, resend_ms: 1300}\n",
@@ -300,7 +300,7 @@
 static void
 inject_worker_fault(struct soak *s, struct soak_worker *w, uint32_t i)
 {
-	switch (soak_random(s, 9)) {
+	switch (soak_random(s, 13)) {
 	case 0:
 	case 1:
 		soak_worker_start(s, i, soak_random(s, 2) == 0);
@@ -322,6 +322,14 @@
 	case 8:
 		w->fake.fails = !w->fake.fails;
 		break;
+	case 9:
+		soak_worker_leave(s, i);
+		break;
+	case 10:
+	case 11:
+	case 12:
+		soak_links_inject_worker_fault(s, i);
+		break;
 	}
 }
 
@@ -387,6 +395,8 @@
 		w->late_start_percent = 0;
 		w->fake.speed = 1.0;
 		w->fake.fails = false;
+		if (w->draining)
+			soak_worker_start(s, i, true);
 	}
 }
 
--- a/test/soak_workers.c
+++ b/test/soak_workers.c
@@ -18,6 +18,13 @@
  */
 #define LATE_MIN_MS 60U
 #define LATE_SPREAD_MS 1500U
+#define DRAIN_MIN_MS 100U
+#define DRAIN_SPREAD_MS 2000U /* random part */
+#define LEAVE_TIMEOUT_MS 1000U
+/* A worker whose notice to leave is not answered ends after this time. */
+#define END_MIN_MS 200U
+#define END_SPREAD_MS 2500U
+#define LATE_NOTICE_MS 4000U /* longest delay of a late notice */
 
 /*
  * Restarts a worker, as a crash would, under its old or a new id.
@@ -39,6 +46,85 @@
 	w->seq = 0;
 	w->last_seen_end = 0;
 	w->announce_at = s->now;
+	w->draining = false;
+	w->leave_at = 0;
+	w->end_at = 0;
+	w->leave_call = 0;
+}
+
+/*
+ * The worker drains.  Then it says that it leaves, and ends when that is
+ * answered, or some time later if the answer is lost.
+ */
+void
+soak_worker_leave(struct soak *s, uint32_t i)
+{
+	struct soak_worker *w = &s->workers[i];
+
+	if (w->draining)
+		return;
+	w->draining = true;
+	w->announce_at = s->now;
+	w->leave_at = s->now + DRAIN_MIN_MS + soak_random(s, DRAIN_SPREAD_MS);
+}
+
+/*
+ * Sends a notice that the worker with the given id leaves.
+ */
+static uint64_t
+send_notice(struct soak *s, uint32_t i, const char *id)
+{
+	uint64_t number = (uint64_t)i << 48 | ++s->last_call;
+	char addr[MLK_ADDR_MAX], path[96];
+
+	soak_agent_addr(s, i, SOAK_PORT_CONTROL, addr);
+	(void)snprintf(path, sizeof(path), "/-/Instances.Leave/%s", id);
+	soak_call(s, SOAK_CALL_LEAVE, number, "POST", addr, path, "", NULL,
+	    LEAVE_TIMEOUT_MS);
+	return (number);
+}
+
+/*
+ * A leaving worker ends, and starts again.  Its notice may arrive once more.
+ */
+static void
+end_leaving(struct soak *s, uint32_t i)
+{
+	struct soak_worker *w = &s->workers[i];
+
+	(void)g_strlcpy(w->late_id, w->id, sizeof(w->late_id));
+	w->late_at = s->now + 1 + soak_random(s, LATE_NOTICE_MS);
+	soak_worker_start(s, i, soak_random(s, 2) == 0);
+}
+
+void
+soak_worker_leave_answered(struct soak *s, uint64_t number)
+{
+	uint32_t i = (uint32_t)(number >> 48);
+
+	if (s->workers[i].leave_call == number)
+		end_leaving(s, i);
+}
+
+static void
+leave_tick(struct soak *s, uint32_t i)
+{
+	struct soak_worker *w = &s->workers[i];
+	uint64_t call;
+
+	if (w->late_at != 0 && s->now >= w->late_at) {
+		w->late_at = 0;
+		(void)send_notice(s, i, w->late_id);
+	}
+	if (w->leave_at != 0 && s->now >= w->leave_at) {
+		w->leave_at = 0;
+		w->end_at = s->now + END_MIN_MS + soak_random(s, END_SPREAD_MS);
+		call = send_notice(s, i, w->id);
+		if (soak_random(s, 2) == 0)
+			w->leave_call = call;
+	}
+	if (w->end_at != 0 && s->now >= w->end_at)
+		end_leaving(s, i);
 }
 
 static uint32_t
@@ -316,11 +402,11 @@
 	root = json_pack("{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:{s:i,s:i,s:i},"
 			 "s:[s,s],s:I,s:I,s:I}",
 	    "service", "pool-a", "address", "127.0.0.1:1", "zone", "dc-a",
-	    "version", "v1", "slots", 8, "state", "ready", "cold_remaining_ms",
-	    0, "capacity", "cpu", WORKER_CPU, "mem_mb", 131072, "gpu", 0,
-	    "labels", "a", "r1", "clock_ms",
-	    (json_int_t)fake_worker_clock(&w->fake), "seq",
-	    (json_int_t)++w->seq, "born", (json_int_t)w->fake.boot);
+	    "version", "v1", "slots", 8, "state",
+	    w->draining ? "draining" : "ready", "cold_remaining_ms", 0,
+	    "capacity", "cpu", WORKER_CPU, "mem_mb", 131072, "gpu", 0, "labels",
+	    "a", "r1", "clock_ms", (json_int_t)fake_worker_clock(&w->fake),
+	    "seq", (json_int_t)++w->seq, "born", (json_int_t)w->fake.boot);
 	body = json_dumps(root, JSON_COMPACT);
 	soak_agent_addr(s, i, SOAK_PORT_CONTROL, addr);
 	(void)snprintf(path, sizeof(path), "/-/Instances.Heartbeat/%s", w->id);
@@ -396,6 +482,7 @@
 		w = &s->workers[i];
 		if (!w->fake.up)
 			continue;
+		leave_tick(s, i);
 		fake_worker_advance(&w->fake, s->now);
 		record_ends(s, w);
 		if (w->over_capacity + w->fake.over_capacity > 0)
