--- a/test/dispatch_world.c
+++ b/test/dispatch_world.c
@@ -622,14 +622,19 @@
 	}
 }
 
+/*
+ * Schedules the result of an order.  If it is an answer, `boot` is that of the
+ * worker, else 0: an answer is lost if the worker goes down first.
+ */
 static void
 push_order_result(struct world *w, uint32_t i, uint64_t generation, int64_t at,
-    const struct mlk_runner_event *result)
+    uint64_t boot, const struct mlk_runner_event *result)
 {
 	struct event *ev;
 
 	ev = push(w, at, EV_ORDER_RESULT, i);
 	ev->generation = generation;
+	ev->boot = boot;
 	ev->result = *result;
 	/* The lists belong to the worker and change with its next order. */
 	ev->result.u.order.running = g_memdup2(result->u.order.running,
@@ -669,7 +674,7 @@
 	struct mlk_runner_event result;
 	struct world_job *job = NULL;
 	struct mlk_resources resources = { .mem_mb = 64 };
-	uint32_t work_ms = 0, before;
+	uint32_t work_ms = 0, before, answer_ms = 0;
 
 	if (ev->order.type == MLK_ORDER_START) {
 		job = job_by_id(w, ev->order.name.id);
@@ -681,9 +686,12 @@
 	fake_worker_order(&a->worker, &ev->order, &resources, work_ms, &result);
 	if (a->worker.nruns > before)
 		check_start(w, ev->index, &ev->order.name);
-	if (ev->answered)
-		push_order_result(
-		    w, ev->index, ev->generation, w->now + 1, &result);
+	if (!ev->answered)
+		return;
+	if (ev->order.type == MLK_ORDER_START)
+		answer_ms = w->options.start_answer_ms;
+	push_order_result(w, ev->index, ev->generation,
+	    w->now + 1 + below(w, answer_ms + 1), a->worker.boot, &result);
 }
 
 /*
@@ -703,7 +711,7 @@
 		result.u.order.order = ev->order.order;
 		result.u.order.result = MLK_ORDER_NOT_SENT;
 		push_order_result(
-		    w, ev->index, ev->generation, w->now + 1, &result);
+		    w, ev->index, ev->generation, w->now + 1, 0, &result);
 		return;
 	}
 	advance_worker(w, ev->index);
@@ -743,11 +751,11 @@
 	none.u.order.order = order->order;
 	none.u.order.result = MLK_ORDER_NO_ANSWER;
 	push_order_result(
-	    w, i, a->generation, w->now + order->timeout_ms, &none);
+	    w, i, a->generation, w->now + order->timeout_ms, 0, &none);
 	if (w->now < a->refuse_until && below(w, 100) < a->refuse_percent) {
 		mlk_blob_clear(&order->spec);
 		none.u.order.result = MLK_ORDER_NOT_SENT;
-		push_order_result(w, i, a->generation, w->now + 1, &none);
+		push_order_result(w, i, a->generation, w->now + 1, 0, &none);
 		return;
 	}
 	if (w->now < a->drop_until && below(w, 100) < ORDER_DROP_PERCENT) {
@@ -1452,8 +1460,11 @@
 static void
 on_order_result(struct world *w, struct event *ev)
 {
-	if (w->agents[ev->index].up &&
-	    w->agents[ev->index].generation == ev->generation)
+	const struct world_agent *a = &w->agents[ev->index];
+	bool lost;
+
+	lost = ev->boot != 0 && (!a->worker.up || a->worker.boot != ev->boot);
+	if (a->up && a->generation == ev->generation && !lost)
 		apply_agent(w, ev->index, &ev->result);
 	g_free((gpointer)ev->result.u.order.running);
 	g_free((gpointer)ev->result.u.order.ended);
--- a/test/dispatch_world.h
+++ b/test/dispatch_world.h
@@ -64,6 +64,7 @@
 	uint32_t agents;
 	uint32_t jobs_per_s;
 	uint32_t cpu; /* capacity of each worker, thousandths of a core */
+	uint32_t start_answer_ms; /* longest time until a start is answered */
 	/*
 	 * From burst_at on, jobs_per_s is multiplied by burst_factor for
 	 * burst_ms; 0 ms: no burst.
--- /dev/null
+++ b/test/mutations/runner_void_never_ran.sed
@@ -0,0 +1,1 @@
+s/^	if (run->boot != r->worker.boot)/	if (false)/
--- a/test/prop_dispatch.cpp
+++ b/test/prop_dispatch.cpp
@@ -79,8 +79,9 @@
 		    *full_range(rc::gen::inRange<uint64_t>(1, 1000000));
 		options.entries = 3;
 		options.agents = 4;
-		options.jobs_per_s = *rc::gen::element(10u, 30u, 60u);
+		options.jobs_per_s = *rc::gen::element(10u, 30u, 60u, 90u);
 		options.cpu = 64000;
+		options.start_answer_ms = *rc::gen::element(0u, 20u);
 		world *w = world_create(&options);
 		for (const auto &f : faults)
 			world_fault(w, f.at,
--- a/test/test_runner.c
+++ b/test/test_runner.c
@@ -208,6 +208,42 @@
 	}
 }
 
+#define RESTART_GAP_MS 400
+#define RESTART_MS 700
+#define START_ANSWER_MS 20
+
+/*
+ * Guards against a job that is refused although it has run: under a load beyond
+ * the capacity, workers that take some time to answer a start crash in turn,
+ * and are soon back under their ids.
+ */
+static void
+test_restarts_under_load(void **state)
+{
+	struct world_options options = base_options;
+	struct world_stats stats;
+	struct world *w;
+	uint32_t i = 0;
+	int64_t at;
+
+	(void)state;
+	options.jobs_per_s = 90;
+	options.start_answer_ms = START_ANSWER_MS;
+	for (options.seed = 1; options.seed <= SEEDS; options.seed++) {
+		w = world_create(&options);
+		for (at = FAULT_AT; at < END_AT; at += RESTART_GAP_MS)
+			world_fault(
+			    w, at, WORLD_WORKER_RESTART, 0, i++, RESTART_MS);
+		world_run(w, END_AT);
+		world_settle(w);
+		fail_if_violated(w, options.seed);
+		world_read_stats(w, &stats);
+		world_destroy(w);
+		assert_int_equal(stats.unanswered, 0);
+		assert_true(stats.refused > 0);
+	}
+}
+
 #define BURST_MS 4000
 #define BURST_FACTOR 3
 #define RETRIED_COMPLETED_PERCENT 75
@@ -280,6 +316,7 @@
 		cmocka_unit_test(test_conns_refused),
 		cmocka_unit_test(test_callers_leave),
 		cmocka_unit_test(test_refusals_do_not_loop),
+		cmocka_unit_test(test_restarts_under_load),
 		cmocka_unit_test(test_retries_after_burst),
 	};
 
