dispatch: the newest rows of entries take the places of lost ones

Callers saw: 503 for every request after a loss of power, once 300 entries had been lost without a planned stop.

Cause: the first 256 rows in the order of their keys filled the agent's table of entries. Later ones were ignored, and a place was freed only after a minute without a link.

Change: an entry in the table has the row version at its last sign of life. When the table is full, a newer row takes the place of the oldest one without a link, without runs and not from the settings.

Test: test_live_entry_behind_lost_ones and test_linked_entry_is_kept failed before ('"10.1.1.55:7000" != "10.2.0.1:7000"', '0x2e != 0').

--- a/include/monsoonlock/dispatch.h
+++ b/include/monsoonlock/dispatch.h
@@ -194,6 +194,8 @@
 		struct {
 			uint32_t n;
 			const char (*addrs)[MLK_ADDR_MAX];
+			uint64_t version; /* of the row that holds them; 0: they
+					     are in no row */
 		} entries;
 		const struct mlk_announcement *announced;
 		struct {
--- a/src/dispatch/runner.c
+++ b/src/dispatch/runner.c
@@ -65,7 +65,7 @@
 	r->orders =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
 	for (i = 0; i < options->nentries; i++)
-		(void)runner_entry_learn(r, options->entries[i], true);
+		(void)runner_entry_learn(r, options->entries[i], true, 0);
 	return (r);
 }
 
@@ -228,7 +228,8 @@
 		break;
 	case MLK_RUNNER_ENTRIES:
 		for (i = 0; i < ev->u.entries.n; i++)
-			runner_entry_reported(r, ev->u.entries.addrs[i]);
+			runner_entry_reported(
+			    r, ev->u.entries.addrs[i], ev->u.entries.version);
 		break;
 	case MLK_RUNNER_ANNOUNCED:
 		runner_announced(r, ev->u.announced);
--- a/src/dispatch/runner_links.c
+++ b/src/dispatch/runner_links.c
@@ -39,11 +39,41 @@
 }
 
 /*
- * Adds the address of an entry.  Returns the entry, or NULL when the address
- * cannot be used and when the table is full.
+ * Frees a place in the full table for a row with the given version: the entry
+ * without a link whose newest sign of life is the oldest is forgotten.  Rows of
+ * lost entries stay in the store, and would hide the entries that live.
+ * Returns whether a place is free.
+ */
+static bool
+forget_oldest(struct mlk_runner *r, uint64_t version)
+{
+	const struct entry *e, *oldest = NULL;
+	guint i, at = 0;
+
+	if (r->entries->len < RUNNER_ENTRIES_MAX)
+		return (true);
+	for (i = 0; i < r->entries->len; i++) {
+		e = g_ptr_array_index(r->entries, i);
+		if (e->configured || e->link != 0 || e->nruns > 0 ||
+		    (oldest != NULL && e->version >= oldest->version))
+			continue;
+		oldest = e;
+		at = i;
+	}
+	if (oldest == NULL || oldest->version >= version)
+		return (false);
+	(void)g_ptr_array_remove_index_fast(r->entries, at);
+	return (true);
+}
+
+/*
+ * Adds the address of an entry, from a row with the given version.  Returns the
+ * entry, or NULL when the address cannot be used, and when the table is full of
+ * entries that are linked or have newer rows.
  */
 struct entry *
-runner_entry_learn(struct mlk_runner *r, const char *addr, bool configured)
+runner_entry_learn(
+    struct mlk_runner *r, const char *addr, bool configured, uint64_t version)
 {
 	struct entry *e;
 	guint i;
@@ -52,16 +82,18 @@
 		e = g_ptr_array_index(r->entries, i);
 		if (strcmp(e->addr, addr) == 0) {
 			e->configured = e->configured || configured;
+			e->version = MAX(e->version, version);
 			return (e);
 		}
 	}
 	if (!mlk_addr_valid(addr))
 		return (ignore_address(r, addr, "not ip:port"));
-	if (r->entries->len >= RUNNER_ENTRIES_MAX)
+	if (!forget_oldest(r, version))
 		return (ignore_address(r, addr, "too many entries"));
 	e = g_new0(struct entry, 1);
 	(void)g_strlcpy(e->addr, addr, sizeof(e->addr));
 	e->configured = configured;
+	e->version = version;
 	e->retry_ns = CONNECT_RETRY_NS;
 	e->reached_at = r->now;
 	e->ends = g_array_new(FALSE, FALSE, sizeof(struct mlk_run_result));
@@ -70,19 +102,21 @@
 }
 
 /*
- * Handles the report of another process, or a changed row of the store, that an
- * entry has this address.  An entry without a link is tried at once: it has
- * probably just started.  The interval between attempts may have grown to
- * CONNECT_RETRY_MAX_NS, and an attempt that was sent before its machine was up
- * hangs until it times out.  After a power failure all agents are in this
- * state, while the callers are up and send.
+ * Handles the report of another process (version 0), or a changed row of the
+ * store, that an entry has this address.  An entry without a link is tried at
+ * once: it has probably just started.  The interval between attempts may have
+ * grown to CONNECT_RETRY_MAX_NS, and an attempt that was sent before its
+ * machine was up hangs until it times out.  After a power failure all agents
+ * are in this state, while the callers are up and send.
  */
 void
-runner_entry_reported(struct mlk_runner *r, const char *addr)
+runner_entry_reported(struct mlk_runner *r, const char *addr, uint64_t version)
 {
 	struct entry *e;
 
-	e = runner_entry_learn(r, addr, false);
+	r->newest_row = MAX(r->newest_row, version);
+	e = runner_entry_learn(
+	    r, addr, false, version != 0 ? version : r->newest_row);
 	if (e == NULL || e->link != 0)
 		return;
 	if (e->connect != 0 && r->now - e->connect_at < CONNECT_HUNG_NS)
@@ -153,6 +187,7 @@
 	e->want.tasks = 0;
 	runner_offers_forget(r, e);
 	e->reached_at = r->now;
+	e->version = r->newest_row;
 	e->retry_at = r->now + CONNECT_RETRY_NS;
 	e->retry_ns = CONNECT_RETRY_NS;
 	if (e->nruns > 0) {
@@ -297,7 +332,7 @@
 	uint32_t i;
 
 	for (i = 0; i < msg->u.peers.n; i++)
-		runner_entry_reported(r, msg->u.peers.peers[i].addr);
+		runner_entry_reported(r, msg->u.peers.peers[i].addr, 0);
 }
 
 void
--- a/src/dispatch/runner_priv.h
+++ b/src/dispatch/runner_priv.h
@@ -123,6 +123,8 @@
 struct entry {
 	char addr[MLK_ADDR_MAX];
 	bool configured; /* from the settings: never forgotten */
+	uint64_t version; /* newest row of the store that was known when the
+			     entry was last known to live */
 	uint32_t connect; /* id of the connection attempt; 0: none */
 	int64_t connect_at; /* time of the last attempt */
 	uint32_t link; /* 0: none */
@@ -258,6 +260,7 @@
 	int64_t stop_at; /* latest time of EXIT */
 	bool exited;
 	GPtrArray *entries; /* struct entry */
+	uint64_t newest_row; /* highest version of a row with an address */
 	GPtrArray *runs; /* struct run, unordered */
 	GHashTable *by_name; /* struct mlk_run_name * -> struct run */
 	GHashTable *orders; /* id -> struct order */
@@ -353,9 +356,10 @@
 void runner_worker_due(struct mlk_runner *r);
 
 /* runner_links.c */
-void runner_entry_reported(struct mlk_runner *r, const char *addr);
+void runner_entry_reported(
+    struct mlk_runner *r, const char *addr, uint64_t version);
 struct entry *runner_entry_learn(
-    struct mlk_runner *r, const char *addr, bool configured);
+    struct mlk_runner *r, const char *addr, bool configured, uint64_t version);
 void runner_link_up(struct mlk_runner *r, uint32_t link, uint32_t connect);
 void runner_link_down(struct mlk_runner *r, uint32_t link, uint32_t connect);
 void runner_msg(struct mlk_runner *r, uint32_t link, const struct mlk_msg *msg);
--- a/test/test_runner_links.c
+++ b/test/test_runner_links.c
@@ -19,6 +19,7 @@
 struct bench {
 	struct mlk_runner *r;
 	int64_t now; /* ms */
+	char addr[MLK_ADDR_MAX]; /* of the last attempt */
 	uint32_t connect; /* attempt in flight; 0: none */
 	uint32_t connects;
 	uint32_t closed; /* link closed last */
@@ -39,6 +40,8 @@
 		if (fx.items[i].type != MLK_RUNNER_FX_CONNECT)
 			continue;
 		t->connect = fx.items[i].u.connect.connect;
+		(void)snprintf(
+		    t->addr, sizeof(t->addr), "%s", fx.items[i].u.connect.addr);
 		t->connects++;
 	}
 	mlk_runner_effects_free(&fx);
@@ -70,18 +73,28 @@
 	}
 }
 
+/*
+ * Reports an address from a row with the given version.
+ */
 static void
-report(struct bench *t, const char *addr)
+report_row(struct bench *t, const char *addr, uint64_t version)
 {
 	struct mlk_runner_event ev = { .type = MLK_RUNNER_ENTRIES };
 	char addrs[1][MLK_ADDR_MAX];
 
 	(void)snprintf(addrs[0], sizeof(addrs[0]), "%s", addr);
+	ev.u.entries.version = version;
 	ev.u.entries.n = 1;
 	ev.u.entries.addrs = (const char(*)[MLK_ADDR_MAX])addrs;
 	apply(t, &ev);
 }
 
+static void
+report(struct bench *t, const char *addr)
+{
+	report_row(t, addr, 0);
+}
+
 static int
 setup(void **state)
 {
@@ -213,6 +226,73 @@
 	assert_int_equal(t->connects, 256);
 }
 
+#define LOST_ENTRIES 300 /* more than an agent knows at a time */
+
+static void
+report_lost_entries(struct bench *t, uint64_t first_version)
+{
+	char addr[MLK_ADDR_MAX];
+	uint32_t i;
+
+	for (i = 0; i < LOST_ENTRIES; i++) {
+		(void)snprintf(addr, sizeof(addr), "10.1.%u.%u:7000", i / 200,
+		    1 + i % 200);
+		report_row(t, addr, first_version + i);
+		refuse_connect(t);
+	}
+}
+
+/*
+ * Guards against a live entry that no agent connects to, since the rows of lost
+ * ones fill its table: none is served after a loss of power.
+ */
+static void
+test_live_entry_behind_lost_ones(void **state)
+{
+	struct bench *t = *state;
+
+	report_lost_entries(t, 1);
+	report_row(t, "10.2.0.1:7000", LOST_ENTRIES + 1);
+	assert_string_equal(t->addr, "10.2.0.1:7000");
+}
+
+/* The same, when its row is read before theirs. */
+static void
+test_live_entry_before_lost_ones(void **state)
+{
+	struct bench *t = *state;
+	uint32_t before;
+
+	report_row(t, "10.2.0.1:7000", LOST_ENTRIES + 1);
+	refuse_connect(t);
+	report_lost_entries(t, 1);
+	advance(t, 2000, true);
+	before = t->connects;
+	report_row(t, "10.2.0.1:7000", LOST_ENTRIES + 2);
+	assert_int_equal(t->connects, before + 1);
+	assert_string_equal(t->addr, "10.2.0.1:7000");
+}
+
+/*
+ * Guards against a linked entry that is forgotten because of rows that are
+ * newer than its own.
+ */
+static void
+test_linked_entry_is_kept(void **state)
+{
+	struct bench *t = *state;
+	struct mlk_runner_event up = { .type = MLK_RUNNER_LINK_UP };
+
+	report_row(t, "10.2.0.1:7000", 1);
+	up.u.link.link = 7;
+	up.u.link.connect = t->connect;
+	t->connect = 0;
+	apply(t, &up);
+	report_lost_entries(t, 2);
+	assert_int_not_equal(t->closed, 7);
+	assert_int_equal(mlk_runner_counters(t->r)->addrs_ignored, 0);
+}
+
 int
 main(void)
 {
@@ -222,6 +302,9 @@
 		TEST(test_hung_attempt_is_replaced),
 		TEST(test_fresh_attempt_is_kept),
 		TEST(test_dead_entry_is_tried_rarely),
+		TEST(test_live_entry_behind_lost_ones),
+		TEST(test_live_entry_before_lost_ones),
+		TEST(test_linked_entry_is_kept),
 		TEST(test_odd_addresses),
 	};
 #undef TEST
