--- a/src/net/loop.c
+++ b/src/net/loop.c
@@ -190,6 +190,10 @@
 	(void)sigaddset(set, SIGHUP);
 }
 
+/*
+ * Blocks the signals that the loop handles, for a program that has yet to
+ * create its loop.  Returns 0 or MLK_ERR_IO.
+ */
 int
 mlk_loop_block_signals(void)
 {
