--- a/src/dispatch/runner_runs.c
+++ b/src/dispatch/runner_runs.c
@@ -202,8 +202,8 @@
 }
 
 /*
- * Ends all runs, also those whose start is unanswered: their leases have
- * expired, or the worker has exited.
+ * Ends all runs, also those whose start is unanswered: every lease that the
+ * worker may have been granted has expired.
  */
 void
 runner_runs_lost(struct mlk_runner *r, const char *cause)
