test: one end of a world, one announcement of a draining worker

Cause: test_restarts_under_load repeated how run_world() and the foreign announcements finish a world, and the tests of leaving workers repeated the announcement of test_no_repeated_start_while_draining. Change: finish_world() and announce_draining() serve all of them. No assertion, seed or bound is changed.

--- a/test/test_runner.c
+++ b/test/test_runner.c
@@ -33,6 +33,20 @@
 		fail_msg("seed %llu: %s", (unsigned long long)seed, violation);
 }
 
+/*
+ * Runs a world until every caller has its answer, checks its properties, reads
+ * its figures and destroys it.
+ */
+static void
+finish_world(struct world *w, uint64_t seed, struct world_stats *stats)
+{
+	world_run(w, END_AT);
+	world_settle(w);
+	fail_if_violated(w, seed);
+	world_read_stats(w, stats);
+	world_destroy(w);
+}
+
 /*
  * Runs a world with one fault, or none if it is WORLD_FAULTS, until every
  * caller has its answer.
@@ -44,11 +58,7 @@
 	struct world *w = world_create(options);
 
 	world_fault(w, FAULT_AT, fault, 0, 1, ms);
-	world_run(w, END_AT);
-	world_settle(w);
-	fail_if_violated(w, options->seed);
-	world_read_stats(w, stats);
-	world_destroy(w);
+	finish_world(w, options->seed, stats);
 }
 
 /*
@@ -134,11 +144,7 @@
 			world_fault(
 			    w, FAULT_AT, WORLD_FOREIGN_ANNOUNCEMENTS, 0, b, 0);
 		}
-		world_run(w, END_AT);
-		world_settle(w);
-		fail_if_violated(w, options.seed);
-		world_read_stats(w, &stats);
-		world_destroy(w);
+		finish_world(w, options.seed, &stats);
 		assert_int_equal(stats.unanswered, 0);
 		if (stats.in_goal * 100 < stats.jobs * 97) {
 			fail_msg("seed %llu: %u of %u jobs in their goal",
@@ -234,11 +240,7 @@
 		for (at = FAULT_AT; at < END_AT; at += RESTART_GAP_MS)
 			world_fault(
 			    w, at, WORLD_WORKER_RESTART, 0, i++, RESTART_MS);
-		world_run(w, END_AT);
-		world_settle(w);
-		fail_if_violated(w, options.seed);
-		world_read_stats(w, &stats);
-		world_destroy(w);
+		finish_world(w, options.seed, &stats);
 		assert_int_equal(stats.unanswered, 0);
 		assert_true(stats.refused > 0);
 	}
--- a/test/test_runner_fence.c
+++ b/test/test_runner_fence.c
@@ -211,6 +211,21 @@
 	apply(t, a, &ev);
 }
 
+/*
+ * The worker announces to the first agent that it drains.
+ */
+static void
+announce_draining(struct bench *t)
+{
+	struct mlk_runner_event ev = { .type = MLK_RUNNER_ANNOUNCED };
+	struct mlk_announcement announcement;
+
+	fake_worker_announce(&t->worker, ++t->announce_seq, &announcement);
+	announcement.info.state = MLK_WORKER_DRAINING;
+	ev.u.announced = &announcement;
+	apply(t, &t->a, &ev);
+}
+
 /*
  * Advances the time; `paused` handles no event.
  */
@@ -505,16 +520,11 @@
 test_no_repeated_start_while_draining(void **state)
 {
 	struct bench *t = *state;
-	struct mlk_runner_event ev = { .type = MLK_RUNNER_ANNOUNCED };
-	struct mlk_announcement announcement;
 
 	t->dark = true;
 	send_run(t, &t->a);
 	advance(t, 100, NULL);
-	fake_worker_announce(&t->worker, ++t->announce_seq, &announcement);
-	announcement.info.state = MLK_WORKER_DRAINING;
-	ev.u.announced = &announcement;
-	apply(t, &t->a, &ev);
+	announce_draining(t);
 	t->dark = false;
 	advance(t, 500, NULL);
 	assert_int_equal(t->a.starts, 0);
@@ -526,13 +536,7 @@
 static void
 drain(struct bench *t)
 {
-	struct mlk_runner_event ev = { .type = MLK_RUNNER_ANNOUNCED };
-	struct mlk_announcement announcement;
-
-	fake_worker_announce(&t->worker, ++t->announce_seq, &announcement);
-	announcement.info.state = MLK_WORKER_DRAINING;
-	ev.u.announced = &announcement;
-	apply(t, &t->a, &ev);
+	announce_draining(t);
 	advance(t, 2000, NULL);
 }
 
