wire: messages for evacuations, demand of entries and interference

Cause: evacuation, weighted fair sharing and interference need messages between entries and agents; the parts are built in parallel. Change: formats of EVACUATIONS, DEMAND, CORUN and VERDICTS; PING carries the version of the evacuations, WORKER the speed, RUN the kind of task. Nothing sends them yet.

--- a/include/monsoonlock/core.h
+++ b/include/monsoonlock/core.h
@@ -154,6 +154,10 @@
 #define MLK_STEPS_MAX 64 /* steps in an ephemeral job */
 #define MLK_HOST_MAX 256 /* host name or path prefix, including NUL */
 #define MLK_LABELS_MAX 128 /* labels of a worker, including NUL */
+#define MLK_EVACUATIONS_MAX 256
+#define MLK_DEMAND_MAX 32 /* routes in one report */
+#define MLK_CORUN_MAX 64 /* pairs in one report */
+#define MLK_VERDICTS_MAX 64
 #define MLK_ROUTES_MAX 16384 /* routes in a routing table */
 
 /* Resources that a task needs, or that a worker has or has free. */
@@ -179,6 +183,7 @@
 	char labels[MLK_LABELS_MAX]; /* separated by spaces */
 	enum mlk_worker_state state;
 	struct mlk_resources capacity;
+	uint32_t speed; /* in thousandths of the usual speed; 0: unknown */
 };
 
 struct mlk_worker_load {
@@ -196,6 +201,54 @@
 	struct mlk_resources resources; /* that the most urgent task needs */
 };
 
+/* A data centre whose workers get no new work. */
+struct mlk_evacuation {
+	char dc[MLK_NAME_MAX];
+	uint64_t version; /* of the change that began it */
+};
+
+/* The set of evacuated data centres as of a version of the store. */
+struct mlk_evacuations {
+	uint64_t version; /* 0: nothing is known */
+	uint32_t n;
+	struct mlk_evacuation *items;
+};
+
+/* Demand for the workers of a pool by the jobs of one route at one entry. */
+struct mlk_route_demand {
+	char route[MLK_NAME_MAX];
+	uint32_t offered; /* work that arrives, in thousandths of a core */
+	uint32_t admitted; /* the admitted part of it */
+	uint64_t
+	    queued; /* work that waits, in thousandths of a core for 1 ms */
+};
+
+struct mlk_demand_report {
+	uint64_t sent_at;
+	char id[MLK_NAME_MAX]; /* of the entry */
+	uint64_t incarnation;
+	uint32_t n;
+	struct mlk_route_demand *items;
+};
+
+/* Progress of the tasks of a kind beside another kind on one worker. */
+struct mlk_corun {
+	uint32_t kind;
+	uint32_t other; /* 0: no other kind */
+	uint32_t samples;
+	int32_t mean; /* of log2(progress / expected progress), thousandths */
+	uint32_t variance; /* of a sample, thousandths */
+};
+
+/* Tasks of `kind` are slowed down by tasks of `other` on the same worker. */
+struct mlk_verdict {
+	uint32_t kind;
+	uint32_t other;
+	uint32_t slowdown; /* of the run time, in thousandths */
+	uint32_t bound; /* lower confidence bound of slowdown, thousandths */
+	uint32_t samples;
+};
+
 /* How a run ended.  With any of these, the run is no longer executing. */
 enum mlk_run_end {
 	MLK_RUN_DONE = 0,
@@ -346,6 +399,10 @@
 	MLK_MSG_ROUTES,
 	MLK_MSG_WANT,
 	MLK_MSG_OFFER,
+	MLK_MSG_EVACUATIONS,
+	MLK_MSG_DEMAND,
+	MLK_MSG_CORUN,
+	MLK_MSG_VERDICTS,
 	MLK_MSG_TYPES,
 };
 
@@ -479,6 +536,8 @@
 			struct mlk_want want; /* backlog that remains after this
 						 message */
 			uint32_t expected_ms; /* run time; 0: unknown */
+			uint32_t kind; /* of the tasks; 0: interference is not
+					  measured */
 			uint8_t movable; /* may be ended as STALLED */
 			struct mlk_blob spec;
 			uint32_t n;
@@ -510,8 +569,24 @@
 			uint64_t sent_at;
 			uint64_t echo; /* last sent_at received; 0: none */
 			uint64_t routing_version;
+			uint64_t evacuations; /* version that the sender
+						 holds */
 		} ping;
 		struct mlk_routing routes; /* any -> any: ROUTES */
+		struct mlk_evacuations evacuations; /* any -> any; an agent
+						       confirms a version
+						       with an empty list */
+		struct mlk_demand_report demand; /* entry -> entry */
+		struct { /* agent -> entry */
+			uint64_t sent_at;
+			uint32_t n;
+			struct mlk_corun *items;
+		} corun;
+		struct { /* entry -> entry */
+			uint64_t sent_at;
+			uint32_t n;
+			struct mlk_verdict *items;
+		} verdicts;
 	} u;
 };
 
--- a/src/core/types.c
+++ b/src/core/types.c
@@ -250,6 +250,18 @@
 	case MLK_MSG_ROUTES:
 		mlk_routing_clear(&msg->u.routes);
 		break;
+	case MLK_MSG_EVACUATIONS:
+		free(msg->u.evacuations.items);
+		break;
+	case MLK_MSG_DEMAND:
+		free(msg->u.demand.items);
+		break;
+	case MLK_MSG_CORUN:
+		free(msg->u.corun.items);
+		break;
+	case MLK_MSG_VERDICTS:
+		free(msg->u.verdicts.items);
+		break;
 	default:
 		break;
 	}
@@ -294,6 +306,10 @@
 		[MLK_MSG_ROUTES] = "ROUTES",
 		[MLK_MSG_WANT] = "WANT",
 		[MLK_MSG_OFFER] = "OFFER",
+		[MLK_MSG_EVACUATIONS] = "EVACUATIONS",
+		[MLK_MSG_DEMAND] = "DEMAND",
+		[MLK_MSG_CORUN] = "CORUN",
+		[MLK_MSG_VERDICTS] = "VERDICTS",
 	};
 
 	if ((unsigned int)type >= MLK_MSG_TYPES || names[type] == NULL)
--- a/src/wire/filters.c
+++ b/src/wire/filters.c
@@ -29,6 +29,10 @@
 #define RUN_RESULT_MIN 24U
 #define ROUTE_MIN 36U
 #define POOL_MIN 12U
+#define EVACUATION_MIN 12U
+#define DEMAND_MIN 20U
+#define CORUN_MIN 20U
+#define VERDICT_MIN 20U
 
 #define POOLS_MAX 4096U
 
@@ -404,7 +408,7 @@
 	    !number(xdrs, &state, MLK_WORKER_READY, MLK_WORKER_DEGRADED))
 		return (FALSE);
 	w->state = (enum mlk_worker_state)state;
-	return (resources(xdrs, &w->capacity));
+	return (resources(xdrs, &w->capacity) && xdr_u_int(xdrs, &w->speed));
 }
 
 static bool_t
@@ -499,7 +503,8 @@
 	    xdr_u_int(xdrs, &m->u.run.deadline_ms) &&
 	    xdr_uint64_t(xdrs, &m->u.run.offer) && want(xdrs, &m->u.run.want) &&
 	    xdr_u_int(xdrs, &m->u.run.expected_ms) &&
-	    flag(xdrs, &m->u.run.movable) && blob(xdrs, &m->u.run.spec) &&
+	    xdr_u_int(xdrs, &m->u.run.kind) && flag(xdrs, &m->u.run.movable) &&
+	    blob(xdrs, &m->u.run.spec) &&
 	    ARRAY(xdrs, m->u.run.tasks, m->u.run.n, MLK_TASKS_MAX, RUN_TASK_MIN,
 		run_task));
 }
@@ -514,6 +519,52 @@
 		run_result));
 }
 
+static bool_t
+evacuation(XDR *xdrs, struct mlk_evacuation *e)
+{
+	return (TEXT(xdrs, e->dc) && xdr_uint64_t(xdrs, &e->version));
+}
+
+static bool_t
+evacuations_body(XDR *xdrs, struct mlk_evacuations *e)
+{
+	return (xdr_uint64_t(xdrs, &e->version) &&
+	    ARRAY(xdrs, e->items, e->n, MLK_EVACUATIONS_MAX, EVACUATION_MIN,
+		evacuation));
+}
+
+static bool_t
+route_demand(XDR *xdrs, struct mlk_route_demand *i)
+{
+	return (TEXT(xdrs, i->route) && xdr_u_int(xdrs, &i->offered) &&
+	    xdr_u_int(xdrs, &i->admitted) && xdr_uint64_t(xdrs, &i->queued));
+}
+
+static bool_t
+demand_body(XDR *xdrs, struct mlk_demand_report *m)
+{
+	return (xdr_uint64_t(xdrs, &m->sent_at) && TEXT(xdrs, m->id) &&
+	    xdr_uint64_t(xdrs, &m->incarnation) &&
+	    ARRAY(xdrs, m->items, m->n, MLK_DEMAND_MAX, DEMAND_MIN,
+		route_demand));
+}
+
+static bool_t
+corun(XDR *xdrs, struct mlk_corun *c)
+{
+	return (xdr_u_int(xdrs, &c->kind) && xdr_u_int(xdrs, &c->other) &&
+	    xdr_u_int(xdrs, &c->samples) && xdr_int(xdrs, &c->mean) &&
+	    xdr_u_int(xdrs, &c->variance));
+}
+
+static bool_t
+verdict(XDR *xdrs, struct mlk_verdict *v)
+{
+	return (xdr_u_int(xdrs, &v->kind) && xdr_u_int(xdrs, &v->other) &&
+	    xdr_u_int(xdrs, &v->slowdown) && xdr_u_int(xdrs, &v->bound) &&
+	    xdr_u_int(xdrs, &v->samples));
+}
+
 /*
  * Encodes or decodes the body of msg->type.  Returns FALSE when a field exceeds
  * its limit, when the data is malformed, or when the type is unknown.
@@ -580,7 +631,8 @@
 	case MLK_MSG_PING:
 		return (xdr_uint64_t(xdrs, &msg->u.ping.sent_at) &&
 		    xdr_uint64_t(xdrs, &msg->u.ping.echo) &&
-		    xdr_uint64_t(xdrs, &msg->u.ping.routing_version));
+		    xdr_uint64_t(xdrs, &msg->u.ping.routing_version) &&
+		    xdr_uint64_t(xdrs, &msg->u.ping.evacuations));
 	case MLK_MSG_ROUTES:
 		return (routes_body(xdrs, &msg->u.routes));
 	case MLK_MSG_WANT:
@@ -591,6 +643,18 @@
 		return (xdr_uint64_t(xdrs, &msg->u.offer.sent_at) &&
 		    xdr_uint64_t(xdrs, &msg->u.offer.offer) &&
 		    resources(xdrs, &msg->u.offer.resources));
+	case MLK_MSG_EVACUATIONS:
+		return (evacuations_body(xdrs, &msg->u.evacuations));
+	case MLK_MSG_DEMAND:
+		return (demand_body(xdrs, &msg->u.demand));
+	case MLK_MSG_CORUN:
+		return (xdr_uint64_t(xdrs, &msg->u.corun.sent_at) &&
+		    ARRAY(xdrs, msg->u.corun.items, msg->u.corun.n,
+			MLK_CORUN_MAX, CORUN_MIN, corun));
+	case MLK_MSG_VERDICTS:
+		return (xdr_uint64_t(xdrs, &msg->u.verdicts.sent_at) &&
+		    ARRAY(xdrs, msg->u.verdicts.items, msg->u.verdicts.n,
+			MLK_VERDICTS_MAX, VERDICT_MIN, verdict));
 	default:
 		return (FALSE);
 	}
--- a/test/test_wire.c
+++ b/test/test_wire.c
@@ -333,6 +333,7 @@
 	TEXT(m->u.worker.info.labels);
 	m->u.worker.info.state = MLK_WORKER_UNAVAILABLE;
 	fill_resources(&m->u.worker.info.capacity);
+	m->u.worker.info.speed = rand32();
 	fill_resources(&m->u.worker.load.free);
 	m->u.worker.load.running = rand32();
 }
@@ -351,6 +352,7 @@
 	m->u.run.offer = rand64();
 	fill_want(&m->u.run.want);
 	m->u.run.expected_ms = rand32();
+	m->u.run.kind = rand32();
 	m->u.run.movable = 1;
 	fill_blob(&m->u.run.spec);
 	m->u.run.n = ITEMS;
@@ -439,6 +441,61 @@
 		m->u.ping.sent_at = rand64();
 		m->u.ping.echo = rand64();
 		m->u.ping.routing_version = rand64();
+		m->u.ping.evacuations = rand64();
+	}
+}
+
+/*
+ * Fills a message with an array that entries and agents exchange about the
+ * load.
+ */
+static void
+fill_load_reports(struct mlk_msg *m)
+{
+	uint32_t i;
+
+	if (m->type == MLK_MSG_EVACUATIONS) {
+		m->u.evacuations.version = rand64();
+		m->u.evacuations.n = ITEMS;
+		m->u.evacuations.items = items(sizeof(*m->u.evacuations.items));
+		for (i = 0; i < ITEMS; i++) {
+			TEXT(m->u.evacuations.items[i].dc);
+			m->u.evacuations.items[i].version = rand64();
+		}
+	} else if (m->type == MLK_MSG_DEMAND) {
+		m->u.demand.sent_at = rand64();
+		TEXT(m->u.demand.id);
+		m->u.demand.incarnation = rand64();
+		m->u.demand.n = ITEMS;
+		m->u.demand.items = items(sizeof(*m->u.demand.items));
+		for (i = 0; i < ITEMS; i++) {
+			TEXT(m->u.demand.items[i].route);
+			m->u.demand.items[i].offered = rand32();
+			m->u.demand.items[i].admitted = rand32();
+			m->u.demand.items[i].queued = rand64();
+		}
+	} else if (m->type == MLK_MSG_CORUN) {
+		m->u.corun.sent_at = rand64();
+		m->u.corun.n = ITEMS;
+		m->u.corun.items = items(sizeof(*m->u.corun.items));
+		for (i = 0; i < ITEMS; i++) {
+			m->u.corun.items[i].kind = rand32();
+			m->u.corun.items[i].other = rand32();
+			m->u.corun.items[i].samples = rand32();
+			m->u.corun.items[i].mean = (int32_t)rand32();
+			m->u.corun.items[i].variance = rand32();
+		}
+	} else {
+		m->u.verdicts.sent_at = rand64();
+		m->u.verdicts.n = ITEMS;
+		m->u.verdicts.items = items(sizeof(*m->u.verdicts.items));
+		for (i = 0; i < ITEMS; i++) {
+			m->u.verdicts.items[i].kind = rand32();
+			m->u.verdicts.items[i].other = rand32();
+			m->u.verdicts.items[i].slowdown = rand32();
+			m->u.verdicts.items[i].bound = rand32();
+			m->u.verdicts.items[i].samples = rand32();
+		}
 	}
 }
 
@@ -519,6 +576,12 @@
 	case MLK_MSG_PING:
 		fill_dispatch_scalars(m);
 		break;
+	case MLK_MSG_EVACUATIONS:
+	case MLK_MSG_DEMAND:
+	case MLK_MSG_CORUN:
+	case MLK_MSG_VERDICTS:
+		fill_load_reports(m);
+		break;
 	default:
 		break;
 	}
@@ -622,6 +685,19 @@
 		mlk_routing_clear(&a->u.routes);
 		mlk_routing_clear(&b->u.routes);
 		break;
+	case MLK_MSG_EVACUATIONS:
+		ASSERT_SAME_ITEMS(
+		    &a->u.evacuations, &b->u.evacuations, items, n);
+		break;
+	case MLK_MSG_DEMAND:
+		ASSERT_SAME_ITEMS(&a->u.demand, &b->u.demand, items, n);
+		break;
+	case MLK_MSG_CORUN:
+		ASSERT_SAME_ITEMS(&a->u.corun, &b->u.corun, items, n);
+		break;
+	case MLK_MSG_VERDICTS:
+		ASSERT_SAME_ITEMS(&a->u.verdicts, &b->u.verdicts, items, n);
+		break;
 	default:
 		break;
 	}
