--- a/include/monsoonlock/app.h
+++ b/include/monsoonlock/app.h
@@ -108,6 +108,7 @@
 	char links_advertise[MLK_ADDR_MAX]; /* address that others connect to */
 	uint32_t max_connections;
 	uint32_t max_jobs;
+	int admission; /* enum mlk_admission_mode */
 };
 
 struct mlk_site_agent_settings {
@@ -187,6 +188,10 @@
 void mlk_metrics_dispatch(GString *out,
     const struct mlk_dispatch_counters *counters,
     const struct mlk_dispatch_gauges *gauges);
+void mlk_metrics_labelled_head(
+    GString *out, const char *name, const char *help);
+void mlk_metrics_labelled(GString *out, const char *name, const char *label,
+    const char *value, uint64_t number);
 void mlk_metrics_runner(GString *out,
     const struct mlk_runner_counters *counters,
     const struct mlk_runner_gauges *gauges);
--- a/include/monsoonlock/core.h
+++ b/include/monsoonlock/core.h
@@ -858,7 +858,7 @@
 	char request[MLK_NAME_MAX]; /* the caller's request id, or empty */
 	char job[MLK_NAME_MAX]; /* or empty */
 	char worker[MLK_NAME_MAX]; /* or empty */
-	char text[192];
+	char text[256];
 };
 
 struct mlk_admin_reply {
--- a/include/monsoonlock/dispatch.h
+++ b/include/monsoonlock/dispatch.h
@@ -440,11 +440,18 @@
 void mlk_dispatch_effects_clear(struct mlk_dispatch_effects *fx);
 void mlk_dispatch_effects_free(struct mlk_dispatch_effects *fx);
 
+enum mlk_admission_mode {
+	MLK_ADMISSION_OFF, /* every job is admitted */
+	MLK_ADMISSION_SHARES, /* queues share a pool that is short of capacity
+				 by weight */
+};
+
 struct mlk_dispatcher_options {
 	struct mlk_peer_info self; /* addr: where this entry accepts links */
 	uint64_t seed;
 	uint32_t max_jobs;
 	uint32_t grace_ms; /* from the stop event to EXIT */
+	enum mlk_admission_mode admission;
 	uint32_t nentries; /* addresses from the settings */
 	char (*entries)[MLK_ADDR_MAX];
 };
@@ -457,6 +464,9 @@
 	X(completed, "Jobs answered complete")                             \
 	X(failed, "Jobs answered failed")                                  \
 	X(refused, "Jobs refused, nothing ran")                            \
+	X(refused_share, "Jobs refused: their queue is over its share")    \
+	X(refused_time, "Jobs refused: they would start too late")         \
+	X(demand_reports, "Reports of demand sent to the peers")           \
 	X(no_route, "Requests without a route")                            \
 	X(broken, "Jobs given up, to be sent again")                       \
 	X(late, "Jobs whose deadline passed")                              \
@@ -490,6 +500,20 @@
 	uint32_t queued; /* tasks waiting for a worker */
 	uint32_t in_flight; /* tasks sent to agents */
 	uint64_t routing_version;
+	/* Admission control; 0 when it is off.  Of all pools. */
+	uint64_t capacity_cpu; /* thousandths of a core */
+	uint64_t free_cpu;
+	uint64_t offered_cpu; /* at all entries */
+	uint32_t pools_short; /* pools that are short of capacity */
+	uint64_t wait_ms; /* longest estimated wait of a new job */
+	uint64_t wait_error_ms; /* mean error of these estimates */
+};
+
+/* Share of a queue in its pool, in thousandths of a core. */
+struct mlk_queue_share {
+	const char *route;
+	uint64_t offered; /* at all entries */
+	uint64_t share;
 };
 
 struct mlk_dispatcher;
@@ -505,6 +529,8 @@
     const char *host, const char *path);
 const struct mlk_dispatch_counters *mlk_dispatch_counters(
     const struct mlk_dispatcher *dispatcher);
+void mlk_dispatcher_each_share(const struct mlk_dispatcher *dispatcher,
+    void (*fn)(const struct mlk_queue_share *share, void *arg), void *arg);
 void mlk_dispatch_gauges(
     const struct mlk_dispatcher *dispatcher, struct mlk_dispatch_gauges *out);
 
--- a/src/app/metrics.c
+++ b/src/app/metrics.c
@@ -128,9 +128,35 @@
 	G(queued, "Tasks waiting for a worker")
 	G(in_flight, "Tasks sent to agents and not ended")
 	G(routing_version, "Version of the routing table in effect")
+	G(capacity_cpu, "CPU capacity of usable workers, thousandths of a core")
+	G(free_cpu, "Free part of that capacity, thousandths of a core")
+	G(offered_cpu, "Demand at all entries, thousandths of a core")
+	G(pools_short, "Pools that are short of capacity")
+	G(wait_ms, "Estimated wait of a job that arrives now, in ms")
+	G(wait_error_ms, "Mean error of the estimated waits, in ms")
 #undef G
 }
 
+/*
+ * Appends the head of a gauge whose samples carry a label.
+ */
+void
+mlk_metrics_labelled_head(GString *out, const char *name, const char *help)
+{
+	metric_head(out, name, help, "gauge");
+}
+
+/*
+ * Appends one sample of a gauge with a label.
+ */
+void
+mlk_metrics_labelled(GString *out, const char *name, const char *label,
+    const char *value, uint64_t number)
+{
+	g_string_append_printf(
+	    out, "%s{%s=\"%s\"} %" PRIu64 "\n", name, label, value, number);
+}
+
 void
 mlk_metrics_runner(GString *out, const struct mlk_runner_counters *counters,
     const struct mlk_runner_gauges *gauges)
--- a/src/app/settings_site.c
+++ b/src/app/settings_site.c
@@ -51,6 +51,8 @@
 		    LEASE_MAX_MS, 1300, NULL                                  \
 	}
 
+static const char *const admission_modes[] = { "off", "shares", NULL };
+
 static const struct rule entry_rules[] = {
 	SITE_RULES,
 	{ "links.listen", RULE_ADDR, AT(u.entry.links_listen), true, 0, 0, 0,
@@ -65,6 +67,8 @@
 	    1000000, 20000, NULL },
 	{ "readiness.listen", RULE_ADDR, AT(u.entry.readiness_listen), true, 0,
 	    0, 0, NULL },
+	{ "admission.mode", RULE_CHOICE, AT(u.entry.admission), false, 0, 0,
+	    MLK_ADMISSION_OFF, admission_modes },
 };
 
 static const struct rule agent_rules[] = {
--- a/src/dispatch/dispatcher.c
+++ b/src/dispatch/dispatcher.c
@@ -48,6 +48,10 @@
 	d->runtimes =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	d->queue = g_sequence_new(NULL);
+	if (options->admission == MLK_ADMISSION_SHARES) {
+		d->demand = demand_create();
+		d->admission = dispatch_admission_create();
+	}
 	d->updated_agents = g_ptr_array_new();
 	d->new_jobs = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	g_queue_init(&d->parked);
@@ -73,6 +77,8 @@
 	g_ptr_array_free(d->peers, TRUE);
 	g_hash_table_destroy(d->links);
 	mlk_routing_clear(&d->routing);
+	dispatch_admission_destroy(d->admission);
+	demand_destroy(d->demand);
 	g_free(d);
 }
 
@@ -213,6 +219,7 @@
 	if (ev->type == MLK_DISPATCH_TICK) {
 		dispatch_peers_due(d);
 		dispatch_agents_due(d);
+		dispatch_admission_due(d);
 		dispatch_jobs_due(d);
 		dispatch_parked_due(d);
 		d->place_due = true;
@@ -263,4 +270,5 @@
 	out->queued = d->nqueued;
 	out->in_flight = d->nsent;
 	out->routing_version = d->routing.version;
+	dispatch_admission_gauges(d, out);
 }
--- a/src/dispatch/dispatcher_drain.c
+++ b/src/dispatch/dispatcher_drain.c
@@ -22,8 +22,12 @@
 dispatch_task_work(
     struct mlk_dispatcher *d, const struct job *job, uint32_t step)
 {
-	return ((double)job->steps[step].resources.cpu *
-	    MAX(dispatch_runtime_ms(d, job, step), 1));
+	double work = (double)job->steps[step].resources.cpu *
+	    MAX(dispatch_runtime_ms(d, job, step), 1);
+
+	if (d->demand != NULL)
+		work *= demand_bias(d->demand, job->route);
+	return (work);
 }
 
 /*
@@ -88,3 +92,20 @@
 	drain->next_retry_at = at + drain_ns(work, drain->rate * RETRY_SHARE);
 	return ((uint32_t)((at - d->now) / MS));
 }
+
+/*
+ * Returns the Retry-After in ms for a caller whose queue is over its share:
+ * callers return one after the other, so that their work takes a part of
+ * `rate`.  *next_retry_at is the time of the next return.
+ */
+uint32_t
+dispatch_retry_after_share_ms(
+    struct mlk_dispatcher *d, double work, double rate, int64_t *next_retry_at)
+{
+	int64_t at;
+
+	at = MAX(d->now + RETRY_AFTER_MIN_MS * MS, *next_retry_at);
+	at = MIN(at, d->now + RETRY_AFTER_MAX_NS);
+	*next_retry_at = at + drain_ns(work * MS, rate * RETRY_SHARE);
+	return ((uint32_t)((at - d->now) / MS));
+}
--- a/src/dispatch/dispatcher_jobs.c
+++ b/src/dispatch/dispatcher_jobs.c
@@ -201,6 +201,9 @@
 	struct job *job = task->job;
 
 	dispatch_runtime_record(d, job, task->step, run_ms);
+	if (d->demand != NULL && run_ms > 0)
+		demand_ran(d->demand, job->route,
+		    dispatch_runtime_ms(d, job, task->step), run_ms);
 	task->state = TASK_DONE;
 	job->left[task->step]--;
 	job->nleft--;
@@ -322,6 +325,7 @@
 	}
 	job->goal_ns = dispatch_goal_ns(
 	    d, job, route->target_ms, route->stretch, &work_ns);
+	job->work_ns = work_ns;
 	job->start_by =
 	    job->arrived + job->goal_ns - work_ns * WORK_MARGIN_PERCENT / 100;
 	(void)g_hash_table_insert(d->jobs, &job->handle, job);
@@ -432,7 +436,8 @@
 	d->counters.jobs++;
 	job = job_create(d, ev, route);
 	add_request(d, job, ev->u.submit.request);
-	release_steps(d, job);
+	if (dispatch_admit(d, job))
+		release_steps(d, job);
 }
 
 /*
@@ -483,6 +488,16 @@
 	    outcome == MLK_WORK_REFUSED ? dispatch_retry_after_ms(d, job) : 0);
 }
 
+/*
+ * Refuses a job of which nothing has started.
+ */
+void
+dispatch_job_refuse(
+    struct mlk_dispatcher *d, struct job *job, uint32_t retry_after_ms)
+{
+	job_answer(d, job, MLK_WORK_REFUSED, retry_after_ms);
+}
+
 /*
  * Returns the latest start that gives a late but useful result, for a job whose
  * start_by refers to its goal.
@@ -499,12 +514,14 @@
  * The other half is left for a retry at another entry.
  */
 static bool
-waited_too_long(const struct mlk_dispatcher *d, const struct job *job)
+waited_too_long(struct mlk_dispatcher *d, const struct job *job)
 {
 	int64_t useful, half;
 
 	if (job->ran || job->nsent > 0)
 		return (false);
+	if (dispatch_admission_hopeless(d, job))
+		return (true);
 	useful = last_useful_start(job);
 	half = job->arrived + (job->deadline - job->arrived) / 2;
 	return (d->now >= MIN(useful, half));
--- a/src/dispatch/dispatcher_links.c
+++ b/src/dispatch/dispatcher_links.c
@@ -383,6 +383,10 @@
 	case MLK_MSG_ROUTES:
 		dispatch_routes(d, &msg->u.routes);
 		break;
+	case MLK_MSG_DEMAND:
+		if (d->demand != NULL)
+			demand_apply(d->demand, &msg->u.demand, d->now);
+		break;
 	default:
 		dispatch_log(d, MLK_LOG_WARNING, NULL, NULL,
 		    "unexpected %s on a link", mlk_msg_name(msg->type));
--- a/src/dispatch/dispatcher_place.c
+++ b/src/dispatch/dispatcher_place.c
@@ -34,8 +34,12 @@
 #define WANT_CHANGE_MS 10 /* increase of urgency that is sent at once */
 #define WANT_AGENTS_MAX 16U /* that receive a WANT in one pass */
 
-static bool
-usable(const struct mlk_dispatcher *d, const struct agent *a, const char *pool)
+/*
+ * Tells whether this entry may place tasks of a pool on an agent's worker.
+ */
+bool
+dispatch_agent_usable(
+    const struct mlk_dispatcher *d, const struct agent *a, const char *pool)
 {
 	return (a->link != 0 && a->has_info &&
 	    (dispatch_agent_takes_work(a) ||
@@ -78,7 +82,8 @@
 	guint i;
 
 	for (i = 0; i < d->agents->len; i++) {
-		if (usable(d, g_ptr_array_index(d->agents, i), pool))
+		if (dispatch_agent_usable(
+			d, g_ptr_array_index(d->agents, i), pool))
 			return (true);
 	}
 	return (false);
@@ -136,7 +141,7 @@
 
 	for (i = 0; i < d->agents->len; i++) {
 		a = g_ptr_array_index(d->agents, i);
-		if (!usable(d, a, job->pool) || avoided(job, a))
+		if (!dispatch_agent_usable(d, a, job->pool) || avoided(job, a))
 			continue;
 		d->counters.looks++;
 		free = dispatch_agent_available(a);
@@ -155,6 +160,31 @@
 	return (best);
 }
 
+/*
+ * Tells whether resources for all tasks of a job's first steps are free and no
+ * earlier job waits for them here.
+ */
+bool
+dispatch_fits_now(const struct mlk_dispatcher *d, const struct job *job)
+{
+	const struct mlk_step *step = &job->steps[0];
+	struct mlk_resources free;
+	const struct agent *a;
+	uint32_t left = step->count;
+	guint i;
+
+	if (d->nqueued > 0)
+		return (false);
+	for (i = 0; i < d->agents->len && left > 0; i++) {
+		a = g_ptr_array_index(d->agents, i);
+		if (!dispatch_agent_usable(d, a, job->pool))
+			continue;
+		free = dispatch_agent_available(a);
+		left -= mlk_resources_count(&free, &step->resources, left);
+	}
+	return (left == 0);
+}
+
 static uint32_t
 left_ms(const struct mlk_dispatcher *d, int64_t at)
 {
@@ -196,6 +226,8 @@
 		d->nsent++;
 		g_ptr_array_add(a->tasks, task);
 	}
+	if (job->nqueued == 0 && !job->ran)
+		dispatch_admission_started(d, job);
 	d->counters.tasks_sent += n;
 	/* The resources of an offer are not part of the reported free ones. */
 	if (msg->u.run.offer != 0)
@@ -314,7 +346,7 @@
 	for (i = 0; i < d->agents->len && sent < WANT_AGENTS_MAX; i++) {
 		a = g_ptr_array_index(
 		    d->agents, (d->want_next + i) % d->agents->len);
-		if (a->link == 0 || !usable(d, a, a->info.pool))
+		if (a->link == 0 || !dispatch_agent_usable(d, a, a->info.pool))
 			continue;
 		if (pool == NULL || strcmp(pool, a->info.pool) != 0)
 			dispatch_queue_want(d, a->info.pool, &want);
@@ -368,7 +400,7 @@
 	    (job = dispatch_walk_next(&walk)) != NULL) {
 		step = job->nsteps;
 		free = dispatch_agent_available(a);
-		if (usable(d, a, job->pool) && !avoided(job, a))
+		if (dispatch_agent_usable(d, a, job->pool) && !avoided(job, a))
 			step = step_that_fits(job, &free, &n);
 		if (step < job->nsteps)
 			(void)send_run(d, job, step, n, a, 0);
@@ -464,7 +496,7 @@
 	dispatch_walk_begin(d, &walk);
 	while (d->now >= d->paused_until && reply == NULL &&
 	    (job = dispatch_walk_next(&walk)) != NULL) {
-		if (!usable(d, a, job->pool) || avoided(job, a))
+		if (!dispatch_agent_usable(d, a, job->pool) || avoided(job, a))
 			continue;
 		step = step_that_fits(job, &msg->u.offer.resources, &n);
 		if (step < job->nsteps)
--- a/src/dispatch/dispatcher_priv.h
+++ b/src/dispatch/dispatcher_priv.h
@@ -18,6 +18,7 @@
 
 #include <monsoonlock/dispatch.h>
 
+#include "demand.h"
 #include "effects.h"
 
 #define MS ((int64_t)MLK_NSEC_PER_MSEC)
@@ -141,7 +142,7 @@
 	struct agent *agent; /* SENT, DETACHED */
 	uint32_t failures;
 	uint32_t moves; /* times it was moved off an unhealthy worker */
-	double work; /* expected work, while QUEUED */
+	double work; /* expected work, while QUEUED or SENT */
 };
 
 /* Measured run times of a route's tasks. */
@@ -163,8 +164,10 @@
 	int64_t arrived;
 	int64_t deadline;
 	int64_t goal_ns; /* target response time */
+	int64_t work_ns; /* expected run time of its longest chain of steps */
 	int64_t start_by; /* latest start that meets goal_ns; sort key of the
 			     queue */
+	int64_t wait_expected; /* estimate at its arrival */
 	GBytes *spec;
 	uint32_t nsteps;
 	struct mlk_step *steps;
@@ -230,6 +233,8 @@
 	uint32_t nqueued; /* queued tasks */
 	double queued_work; /* expected work of the queued tasks */
 	struct drain_rate drain;
+	struct demand *demand;
+	struct admission *admission; /* NULL: every job is admitted */
 	uint32_t nsent;
 	bool place_due; /* free resources or the queue have changed */
 	bool backlog; /* the last pass over the whole queue left tasks in it,
@@ -286,6 +291,8 @@
 void dispatch_task_ended(struct mlk_dispatcher *d, struct task *task,
     enum mlk_run_end end, uint32_t run_ms);
 void dispatch_task_detach(struct task *task);
+void dispatch_job_refuse(
+    struct mlk_dispatcher *d, struct job *job, uint32_t retry_after_ms);
 void dispatch_jobs_due(struct mlk_dispatcher *d);
 void dispatch_jobs_end(struct mlk_dispatcher *d);
 void dispatch_job_free(gpointer data);
@@ -307,7 +314,25 @@
 uint32_t dispatch_retry_after_ms(
     struct mlk_dispatcher *d, const struct job *job);
 
+uint32_t dispatch_retry_after_share_ms(
+    struct mlk_dispatcher *d, double work, double rate, int64_t *next_retry_at);
+
+/* dispatcher_admit.c */
+struct admission *dispatch_admission_create(void);
+void dispatch_admission_destroy(struct admission *admission);
+void dispatch_admission_due(struct mlk_dispatcher *d);
+bool dispatch_admit(struct mlk_dispatcher *d, struct job *job);
+bool dispatch_admission_hopeless(
+    struct mlk_dispatcher *d, const struct job *job);
+void dispatch_admission_started(
+    struct mlk_dispatcher *d, const struct job *job);
+void dispatch_admission_gauges(
+    const struct mlk_dispatcher *d, struct mlk_dispatch_gauges *out);
+
 /* dispatcher_place.c */
+bool dispatch_agent_usable(
+    const struct mlk_dispatcher *d, const struct agent *a, const char *pool);
+bool dispatch_fits_now(const struct mlk_dispatcher *d, const struct job *job);
 void dispatch_place(struct mlk_dispatcher *d, bool tick);
 void dispatch_offer(
     struct mlk_dispatcher *d, struct agent *a, const struct mlk_msg *msg);
--- a/src/dispatch/dispatcher_queue.c
+++ b/src/dispatch/dispatcher_queue.c
@@ -38,6 +38,8 @@
 	d->nqueued++;
 	task->work = dispatch_task_work(d, job, task->step);
 	d->queued_work += task->work;
+	if (d->demand != NULL)
+		demand_queued(d->demand, job->route, task->work);
 	if (job->queue_iter == NULL) {
 		job->queue_iter =
 		    g_sequence_insert_sorted(d->queue, job, cmp_start_by, NULL);
@@ -58,6 +60,8 @@
 	d->nqueued--;
 	/* An empty queue must not keep a rounding error. */
 	d->queued_work = d->nqueued == 0 ? 0 : d->queued_work - task->work;
+	if (d->demand != NULL)
+		demand_queued(d->demand, job->route, -task->work);
 	if (job->nqueued == 0) {
 		g_sequence_remove(job->queue_iter);
 		job->queue_iter = NULL;
