--- a/src/dispatch/demand.c
+++ b/src/dispatch/demand.c
@@ -53,8 +53,9 @@
 	double reported; /* `offered` in the last report */
 	double queued; /* work */
 	double usual; /* of the total of all entries */
-	uint32_t nbias; /* runs in `bias` */
-	double bias; /* work / expected work */
+	uint32_t nruns; /* in the means below */
+	double ran; /* mean work of a run */
+	double expected; /* mean expected work of a run */
 };
 
 struct peer_report {
@@ -152,8 +153,9 @@
 }
 
 /*
- * Records the actual work of a completed run.  Expected run times are geometric
- * means, which are below the mean when run times have a long tail.
+ * Records the actual and the expected work of a completed run.  Expected run
+ * times come from geometric means and from estimates of the callers, which vary
+ * too, so that their sum is not that of the work.
  */
 void
 demand_ran(
@@ -161,25 +163,24 @@
 {
 	struct route *r;
 
-	if (expected_work <= 0)
-		return;
 	r = route_get(d, route);
-	if (r->nbias < BIAS_RUNS)
-		r->nbias++;
-	r->bias += (work / expected_work - r->bias) / r->nbias;
+	if (r->nruns < BIAS_RUNS)
+		r->nruns++;
+	r->ran += (work - r->ran) / r->nruns;
+	r->expected += (expected_work - r->expected) / r->nruns;
 }
 
 /*
- * Returns the mean of work / expected work of a route.
+ * Returns the work of the runs of a route in relation to their expected work.
  */
 double
 demand_bias(const struct demand *d, const char *route)
 {
 	const struct route *r = g_hash_table_lookup(d->routes, route);
 
-	if (r == NULL || r->nbias < BIAS_MIN_RUNS)
+	if (r == NULL || r->nruns < BIAS_MIN_RUNS || r->expected <= 0)
 		return (1.0);
-	return (CLAMP(r->bias, BIAS_MIN, BIAS_MAX));
+	return (CLAMP(r->ran / r->expected, BIAS_MIN, BIAS_MAX));
 }
 
 static bool
--- a/src/dispatch/dispatcher_admit.c
+++ b/src/dispatch/dispatcher_admit.c
@@ -22,7 +22,7 @@
  * Part of the capacity that can be used: 11 tasks of 5.6 cores on a worker of
  * 64 leave 4 %.
  */
-#define USABLE_SHARE 0.95
+#define USABLE_SHARE 0.97
 /* Work ahead that is kept, as the time in which the pool does it. */
 #define BACKLOG_NS (30 * MS)
 /* Work beyond that is to be done within this time. */
