dispatch: evacuation of a data centre

An operator who empties a zone had no means to keep the entries from placing tasks there. A row "evacuate/ZONE" of the operator's table now does so: entries follow it, and hold the set of evacuated data centres with a version that never decreases. They send it to peers and agents when it changes, when these connect, and to those that show a lower version. An entry places nothing on agents of an evacuated data centre and declines their offers; an agent there refuses RUN, repeats no start, offers nothing and reports no free resources. Either side alone keeps the rule. Running tasks continue.

A read of the table in several pages counts when it is complete, and the set is put in force before the routing table of the same read, so that a new entry places nothing before it knows the set. If all data centres of a pool are evacuated, its jobs are refused at once and the entry stays ready.

GET /evacuations on the metrics address shows the set, with the agents that have not confirmed it and the tasks that still run there.

--- a/include/monsoonlock/dispatch.h
+++ b/include/monsoonlock/dispatch.h
@@ -91,6 +91,26 @@
 int mlk_watch_page(struct mlk_watch *watch, const char *last_key,
     uint64_t version, int64_t now);
 
+/* ---- evacuations in the store ------------------------------------------- */
+
+/*
+ * Follows the rows of the store that evacuate data centres.  A read of the
+ * whole table begins with begin() and may take several pages; end() follows the
+ * rows of its last page, and those of each response with changes.
+ */
+struct mlk_evacuation_table;
+
+struct mlk_evacuation_table *mlk_evacuation_table_create(void);
+void mlk_evacuation_table_destroy(struct mlk_evacuation_table *table);
+void mlk_evacuation_table_begin(struct mlk_evacuation_table *table);
+void mlk_evacuation_table_row(struct mlk_evacuation_table *table,
+    const char *dc, uint64_t version, bool removed);
+/* `version` is that of the read, and unused for changes. */
+bool mlk_evacuation_table_end(
+    struct mlk_evacuation_table *table, uint64_t version);
+uint32_t mlk_evacuation_table_copy(
+    const struct mlk_evacuation_table *table, struct mlk_evacuations *out);
+
 /* ---- runner ------------------------------------------------------------- */
 
 /* Identifies one run at the worker. */
@@ -296,7 +316,8 @@
 	X(superseded, "Times that another agent took the worker")  \
 	X(boots, "Lives of the worker seen")                       \
 	X(disowned, "Identities that the worker did not confirm")  \
-	X(foreign, "Announcements of another pool")
+	X(foreign, "Announcements of another pool")                \
+	X(evacuated, "Times that the data centre was evacuated")
 
 struct mlk_runner_counters {
 #define X(field, help) uint64_t field;
@@ -311,6 +332,8 @@
 	struct mlk_resources capacity;
 	struct mlk_resources free;
 	uint64_t fence;
+	bool evacuated; /* the data centre of this agent */
+	uint64_t evacuations_version;
 };
 
 struct mlk_runner;
@@ -363,6 +386,7 @@
 	MLK_DISPATCH_MSG,
 	MLK_DISPATCH_ENTRIES, /* discovered addresses of entries */
 	MLK_DISPATCH_ROUTES, /* a routing table from the store */
+	MLK_DISPATCH_EVACUATIONS, /* evacuated data centres from the store */
 	MLK_DISPATCH_TICK,
 	MLK_DISPATCH_STOP, /* planned stop */
 };
@@ -396,6 +420,7 @@
 			const char (*addrs)[MLK_ADDR_MAX];
 		} entries;
 		const struct mlk_routing *routes;
+		const struct mlk_evacuations *evacuations;
 	} u;
 };
 
@@ -473,7 +498,8 @@
 	X(tasks_moved, "Runs moved away from sick workers")                \
 	X(links_silent, "Links closed after silence")                      \
 	X(addrs_ignored, "Addresses of entries that cannot be used")       \
-	X(routings, "Routing tables put in force")
+	X(routings, "Routing tables put in force")                         \
+	X(evacuations, "Changes of the evacuated data centres in force")
 
 struct mlk_dispatch_counters {
 #define X(field, help) uint64_t field;
@@ -484,12 +510,33 @@
 struct mlk_dispatch_gauges {
 	bool ready;
 	uint32_t agents;
-	uint32_t agents_ready;
+	uint32_t agents_ready; /* outside evacuated data centres */
 	uint32_t peers;
 	uint32_t jobs;
 	uint32_t queued; /* tasks waiting for a worker */
 	uint32_t in_flight; /* tasks sent to agents */
 	uint64_t routing_version;
+	uint32_t evacuated; /* data centres */
+	uint64_t evacuations_version;
+	uint32_t evacuations_unconfirmed; /* agents attached from there that
+					     have not confirmed */
+};
+
+/* An evacuated data centre as an entry sees it. */
+struct mlk_evacuation_status {
+	char dc[MLK_NAME_MAX];
+	uint64_t version; /* of the change that began it */
+	uint64_t since_ms; /* since it took effect at this entry */
+	uint32_t agents; /* attached from there */
+	uint32_t running; /* tasks of this entry there */
+	uint32_t nunconfirmed;
+	char (*unconfirmed)[MLK_NAME_MAX]; /* ids of agents */
+};
+
+struct mlk_evacuation_report {
+	uint64_t version; /* in force */
+	uint32_t n;
+	struct mlk_evacuation_status *items;
 };
 
 struct mlk_dispatcher;
@@ -507,5 +554,8 @@
     const struct mlk_dispatcher *dispatcher);
 void mlk_dispatch_gauges(
     const struct mlk_dispatcher *dispatcher, struct mlk_dispatch_gauges *out);
+void mlk_dispatcher_evacuations(
+    const struct mlk_dispatcher *dispatcher, struct mlk_evacuation_report *out);
+void mlk_evacuation_report_clear(struct mlk_evacuation_report *report);
 
 #endif
--- a/src/app/metrics.c
+++ b/src/app/metrics.c
@@ -128,6 +128,11 @@
 	G(queued, "Tasks waiting for a worker")
 	G(in_flight, "Tasks sent to agents and not ended")
 	G(routing_version, "Version of the routing table in effect")
+	G(evacuated, "Evacuated data centres")
+	G(evacuations_version, "Version of the evacuated data centres in force")
+	G(evacuations_unconfirmed,
+	    "Agents attached from evacuated data centres that have not "
+	    "confirmed")
 #undef G
 }
 
@@ -155,6 +160,10 @@
 	G("free_mem_mb", gauges->free.mem_mb,
 	    "Free memory of the worker, in MB")
 	G("fence", gauges->fence, "Fence of the next order to the worker")
+	G("evacuated", gauges->evacuated,
+	    "1 while the data centre of this agent is evacuated")
+	G("evacuations_version", gauges->evacuations_version,
+	    "Version of the evacuated data centres in force")
 #undef G
 }
 
--- a/src/dispatch/dispatcher.c
+++ b/src/dispatch/dispatcher.c
@@ -48,6 +48,7 @@
 	d->runtimes =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	d->queue = g_sequence_new(NULL);
+	evacuations_init(&d->evacuations);
 	d->updated_agents = g_ptr_array_new();
 	d->new_jobs = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	g_queue_init(&d->parked);
@@ -62,6 +63,7 @@
 	if (d == NULL)
 		return;
 	g_sequence_free(d->queue);
+	evacuations_clear(&d->evacuations);
 	(void)g_ptr_array_free(d->updated_agents, TRUE);
 	(void)g_array_free(d->new_jobs, TRUE);
 	g_queue_clear_full(&d->parked, dispatch_parked_free);
@@ -187,6 +189,9 @@
 	case MLK_DISPATCH_ROUTES:
 		dispatch_routes(d, ev->u.routes);
 		break;
+	case MLK_DISPATCH_EVACUATIONS:
+		dispatch_evacuations(d, ev->u.evacuations);
+		break;
 	case MLK_DISPATCH_STOP:
 		begin_stop(d);
 		break;
@@ -242,6 +247,7 @@
 {
 	const struct agent *a;
 	const struct peer *p;
+	uint32_t usable = 0;
 	guint i;
 
 	memset(out, 0, sizeof(*out));
@@ -249,7 +255,11 @@
 		a = g_ptr_array_index(d->agents, i);
 		if (a->link != 0)
 			out->agents++;
-		if (a->link != 0 && a->has_info && dispatch_agent_takes_work(a))
+		if (a->link == 0 || !a->has_info ||
+		    !dispatch_agent_takes_work(a))
+			continue;
+		usable++;
+		if (!a->evacuated)
 			out->agents_ready++;
 	}
 	for (i = 0; i < d->peers->len; i++) {
@@ -257,10 +267,14 @@
 		if (p->link != 0)
 			out->peers++;
 	}
-	out->ready =
-	    !d->stopping && d->routing.version > 0 && out->agents_ready > 0;
+	/*
+	 * With every data centre evacuated, the entry still has to answer its
+	 * callers, which a load balancer would otherwise cut off.
+	 */
+	out->ready = !d->stopping && d->routing.version > 0 && usable > 0;
 	out->jobs = g_hash_table_size(d->jobs);
 	out->queued = d->nqueued;
 	out->in_flight = d->nsent;
 	out->routing_version = d->routing.version;
+	dispatch_evacuations_gauges(d, out);
 }
--- a/src/dispatch/dispatcher_agents.c
+++ b/src/dispatch/dispatcher_agents.c
@@ -110,6 +110,7 @@
 	link->agent = a;
 	a->link = link->link;
 	a->incarnation = msg->u.attach.incarnation;
+	(void)g_strlcpy(a->dc, msg->u.attach.dc, sizeof(a->dc));
 	a->same_dc = strcmp(msg->u.attach.dc, d->options.self.dc) == 0;
 	a->has_info = false;
 	a->seq = 0;
@@ -120,6 +121,7 @@
 	welcome->u.welcome.self = d->options.self;
 	welcome->u.welcome.config_version = d->routing.version;
 	a->last_sent = d->now;
+	dispatch_evacuations_attached(d, a);
 	dispatch_send_peers(d, a->link);
 	dispatch_log(d, MLK_LOG_NOTICE, NULL, a->id, "agent attached");
 }
@@ -149,6 +151,7 @@
 	msg->u.ping.sent_at = dispatch_now_ms(d);
 	msg->u.ping.echo = a->echo;
 	msg->u.ping.routing_version = d->routing.version;
+	msg->u.ping.evacuations = d->evacuations.version;
 	a->last_sent = d->now;
 }
 
--- a/src/dispatch/dispatcher_jobs.c
+++ b/src/dispatch/dispatcher_jobs.c
@@ -23,6 +23,8 @@
  * expected run time allows, so without a margin half of the jobs finish late.
  */
 #define WORK_MARGIN_PERCENT 130
+#define EVACUATED_CAUSE \
+	"every data centre with workers of its pool is evacuated"
 
 void
 dispatch_job_free(gpointer data)
@@ -385,6 +387,8 @@
 		return ("too many jobs at work");
 	if (d->pause > 0 && d->pause >= (int64_t)ev->u.submit.deadline_ms * MS)
 		return ("its deadline may have passed during a pause");
+	if (!dispatch_warming_up(d) && dispatch_pool_evacuated(d, route->pool))
+		return (EVACUATED_CAUSE);
 	if (!dispatch_pool_ready(d, route->pool) && !dispatch_warming_up(d))
 		return ("no worker of its pool can be reached");
 	return (NULL);
@@ -510,6 +514,17 @@
 	return (d->now >= MIN(useful, half));
 }
 
+/*
+ * Tells whether a job of which nothing has started waits for workers that are
+ * all in evacuated data centres.
+ */
+static bool
+is_evacuated(const struct mlk_dispatcher *d, const struct job *job)
+{
+	return (!job->ran && job->nsent == 0 && !dispatch_warming_up(d) &&
+	    dispatch_pool_evacuated(d, job->pool));
+}
+
 /*
  * Extends the latest start of a late job of which little is left, to that of a
  * result that is late but useful.
@@ -546,14 +561,16 @@
 	g_hash_table_iter_init(&iter, d->jobs);
 	while (g_hash_table_iter_next(&iter, NULL, &job)) {
 		if (d->now >= ((struct job *)job)->deadline ||
-		    waited_too_long(d, job))
+		    waited_too_long(d, job) || is_evacuated(d, job))
 			g_ptr_array_add(over, job);
 		else
 			extend_begun(d, job);
 	}
-	for (i = 0; i < over->len; i++)
-		job_give_up(d, g_ptr_array_index(over, i), MLK_WORK_LATE,
-		    "no time left");
+	for (i = 0; i < over->len; i++) {
+		job = g_ptr_array_index(over, i);
+		job_give_up(d, job, MLK_WORK_LATE,
+		    is_evacuated(d, job) ? EVACUATED_CAUSE : "no time left");
+	}
 	(void)g_ptr_array_free(over, TRUE);
 }
 
--- a/src/dispatch/dispatcher_links.c
+++ b/src/dispatch/dispatcher_links.c
@@ -196,6 +196,7 @@
 	msg = dispatch_send(d, link, MLK_MSG_PEER_HELLO);
 	msg->u.peer_hello.self = d->options.self;
 	msg->u.peer_hello.config_version = d->routing.version;
+	dispatch_evacuations_newer(d, link, 0);
 }
 
 static struct peer *
@@ -337,15 +338,25 @@
 static void
 agent_msg(struct mlk_dispatcher *d, struct agent *a, const struct mlk_msg *msg)
 {
-	if (msg->type == MLK_MSG_WORKER)
+	switch (msg->type) {
+	case MLK_MSG_WORKER:
 		dispatch_worker(d, a, msg);
-	else if (msg->type == MLK_MSG_ENDS)
+		break;
+	case MLK_MSG_ENDS:
 		dispatch_ends(d, a, msg);
-	else if (msg->type == MLK_MSG_OFFER)
+		break;
+	case MLK_MSG_OFFER:
 		dispatch_offer(d, a, msg);
-	else
+		break;
+	case MLK_MSG_EVACUATIONS:
+		dispatch_evacuations_confirmed(
+		    d, a, msg->u.evacuations.version);
+		break;
+	default:
 		dispatch_log(d, MLK_LOG_WARNING, NULL, a->id, "unexpected %s",
 		    mlk_msg_name(msg->type));
+		break;
+	}
 }
 
 void
@@ -372,17 +383,22 @@
 		break;
 	case MLK_MSG_PING:
 		send_newer_routes(d, link, msg->u.ping.routing_version);
+		dispatch_evacuations_newer(d, link, msg->u.ping.evacuations);
 		if (l->kind == LINK_PEER_IN) {
 			struct mlk_msg *pong;
 
 			pong = dispatch_send(d, link, MLK_MSG_PING);
 			pong->u.ping.sent_at = dispatch_now_ms(d);
 			pong->u.ping.routing_version = d->routing.version;
+			pong->u.ping.evacuations = d->evacuations.version;
 		}
 		break;
 	case MLK_MSG_ROUTES:
 		dispatch_routes(d, &msg->u.routes);
 		break;
+	case MLK_MSG_EVACUATIONS:
+		dispatch_evacuations(d, &msg->u.evacuations);
+		break;
 	default:
 		dispatch_log(d, MLK_LOG_WARNING, NULL, NULL,
 		    "unexpected %s on a link", mlk_msg_name(msg->type));
@@ -428,6 +444,7 @@
 		msg = dispatch_send(d, p->link, MLK_MSG_PING);
 		msg->u.ping.sent_at = dispatch_now_ms(d);
 		msg->u.ping.routing_version = d->routing.version;
+		msg->u.ping.evacuations = d->evacuations.version;
 		p->last_sent = d->now;
 	}
 	return (false);
--- a/src/dispatch/dispatcher_place.c
+++ b/src/dispatch/dispatcher_place.c
@@ -37,7 +37,7 @@
 static bool
 usable(const struct mlk_dispatcher *d, const struct agent *a, const char *pool)
 {
-	return (a->link != 0 && a->has_info &&
+	return (a->link != 0 && a->has_info && !a->evacuated &&
 	    (dispatch_agent_takes_work(a) ||
 		(a->info.state == MLK_WORKER_SICK && d->use_sick)) &&
 	    strcmp(a->info.pool, pool) == 0);
@@ -58,7 +58,7 @@
 
 	for (i = 0; i < d->agents->len; i++) {
 		a = g_ptr_array_index(d->agents, i);
-		if (a->link == 0 || !a->has_info)
+		if (a->link == 0 || !a->has_info || a->evacuated)
 			continue;
 		if (a->info.state == MLK_WORKER_SICK)
 			sick++;
@@ -472,7 +472,7 @@
 			    send_run(d, job, step, n, a, msg->u.offer.offer);
 	}
 	dispatch_queue_want(d, a->info.pool, &want);
-	if (d->now < d->paused_until)
+	if (d->now < d->paused_until || a->evacuated)
 		want.tasks = 0;
 	if (reply != NULL) {
 		d->counters.offers_taken++;
--- a/src/dispatch/dispatcher_priv.h
+++ b/src/dispatch/dispatcher_priv.h
@@ -19,6 +19,7 @@
 #include <monsoonlock/dispatch.h>
 
 #include "effects.h"
+#include "evacuations.h"
 
 #define MS ((int64_t)MLK_NSEC_PER_MSEC)
 
@@ -104,7 +105,11 @@
 struct agent {
 	char id[MLK_NAME_MAX];
 	uint64_t incarnation;
+	char dc[MLK_NAME_MAX];
 	bool same_dc; /* in the data centre of this entry */
+	bool evacuated; /* its data centre is; it gets no tasks */
+	uint64_t evacuations_sent; /* highest version sent on this link */
+	uint64_t evacuations_confirmed; /* highest confirmed on it */
 	uint32_t link; /* 0: none */
 	bool has_info; /* a WORKER message has arrived on this link */
 	struct mlk_worker_info info;
@@ -213,6 +218,7 @@
 	int64_t paused_until; /* no time-outs and no placement before this */
 	int64_t pause; /* length of the last pause; 0 from paused_until on */
 	struct mlk_routing routing;
+	struct evacuations evacuations;
 	GHashTable *links; /* link -> struct link */
 	GPtrArray *peers; /* struct peer */
 	bool peers_changed; /* some peer has `unannounced` set */
@@ -336,6 +342,20 @@
 struct mlk_resources dispatch_agent_available(const struct agent *a);
 void dispatch_agent_free_record(gpointer data);
 
+/* dispatcher_evacuations.c */
+void dispatch_evacuations(
+    struct mlk_dispatcher *d, const struct mlk_evacuations *set);
+void dispatch_evacuations_attached(struct mlk_dispatcher *d, struct agent *a);
+void dispatch_evacuations_newer(
+    struct mlk_dispatcher *d, uint32_t link, uint64_t version);
+void dispatch_evacuations_confirmed(
+    struct mlk_dispatcher *d, struct agent *a, uint64_t version);
+bool dispatch_pool_evacuated(const struct mlk_dispatcher *d, const char *pool);
+void dispatch_evacuation_status(const struct mlk_dispatcher *d,
+    const struct evacuated *item, struct mlk_evacuation_status *status);
+void dispatch_evacuations_gauges(
+    const struct mlk_dispatcher *d, struct mlk_dispatch_gauges *out);
+
 /* dispatcher_links.c */
 struct mlk_msg *dispatch_send(
     struct mlk_dispatcher *d, uint32_t link, enum mlk_msg_type type);
--- a/src/dispatch/runner.c
+++ b/src/dispatch/runner.c
@@ -61,6 +61,7 @@
 	r->entries = g_ptr_array_new_with_free_func(runner_entry_free);
 	r->runs = g_ptr_array_new();
 	r->offers = g_array_new(FALSE, FALSE, sizeof(struct offer));
+	evacuations_init(&r->evacuations);
 	r->by_name = g_hash_table_new(name_hash, name_equal);
 	r->orders =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
@@ -83,6 +84,7 @@
 		g_free(run);
 	}
 	g_hash_table_destroy(r->orders);
+	evacuations_clear(&r->evacuations);
 	g_hash_table_destroy(r->by_name);
 	g_ptr_array_free(r->runs, TRUE);
 	(void)g_array_free(r->offers, TRUE);
@@ -168,6 +170,7 @@
 	return (
 	    (r->state == MLK_WORKER_READY || r->state == MLK_WORKER_DEGRADED ||
 		r->state == MLK_WORKER_SICK) &&
+	    !runner_evacuated(r) &&
 	    runner_lease_end(r) - r->now >= LEASE_MIN_NS);
 }
 
@@ -302,4 +305,6 @@
 	out->capacity = r->worker.info.capacity;
 	out->free = runner_free(r);
 	out->fence = r->worker.fence;
+	out->evacuated = runner_evacuated(r);
+	out->evacuations_version = r->evacuations.version;
 }
--- a/src/dispatch/runner_links.c
+++ b/src/dispatch/runner_links.c
@@ -300,8 +300,9 @@
 		return;
 	}
 	runner_log(r, MLK_LOG_INFO, NULL,
-	    "job %s: %u tasks refused, state %d, message %" PRId64 " ms old",
-	    msg->u.run.id, msg->u.run.n, (int)r->state, age);
+	    "job %s: %u tasks refused, state %d%s, message %" PRId64 " ms old",
+	    msg->u.run.id, msg->u.run.n, (int)r->state,
+	    runner_evacuated(r) ? " evacuated" : "", age);
 	for (i = 0; i < msg->u.run.n; i++) {
 		result.job = msg->u.run.job;
 		result.step = msg->u.run.step;
@@ -362,6 +363,10 @@
 		mlk_skew_answer(&e->skew, (int64_t)runner_now_ms(r),
 		    msg->u.ping.sent_at, msg->u.ping.echo);
 		(void)note_sent_at(r, e, msg->u.ping.sent_at);
+		runner_evacuations_shown(r, e, msg->u.ping.evacuations);
+		break;
+	case MLK_MSG_EVACUATIONS:
+		runner_evacuations(r, e, &msg->u.evacuations);
 		break;
 	case MLK_MSG_PEERS:
 		on_peers(r, msg);
--- a/src/dispatch/runner_orders.c
+++ b/src/dispatch/runner_orders.c
@@ -303,8 +303,8 @@
 runner_may_start_again(const struct mlk_runner *r, const struct run *run)
 {
 	return (!run->stop_wanted && run->tries < START_TRIES_MAX &&
-	    !runner_superseded(r) && r->now < run->deadline &&
-	    worker_takes_reserved(r) &&
+	    !runner_superseded(r) && !runner_evacuated(r) &&
+	    r->now < run->deadline && worker_takes_reserved(r) &&
 	    runner_lease_end(r) - r->now >= LEASE_MIN_NS);
 }
 
--- a/src/dispatch/runner_priv.h
+++ b/src/dispatch/runner_priv.h
@@ -23,6 +23,7 @@
 #include <monsoonlock/dispatch.h>
 
 #include "effects.h"
+#include "evacuations.h"
 #include "health.h"
 #include "skew.h"
 
@@ -272,6 +273,7 @@
 	uint64_t last_offer;
 	struct mlk_resources offered;
 	struct health health;
+	struct evacuations evacuations;
 	enum mlk_worker_state state; /* as last reported to entries */
 	bool takes_work; /* as last reported to entries */
 	uint64_t list_number;
@@ -309,6 +311,13 @@
 void runner_offers_forget(struct mlk_runner *r, const struct entry *e);
 void runner_offers_due(struct mlk_runner *r);
 
+/* runner_evacuations.c */
+bool runner_evacuated(const struct mlk_runner *r);
+void runner_evacuations(
+    struct mlk_runner *r, struct entry *e, const struct mlk_evacuations *set);
+void runner_evacuations_shown(
+    struct mlk_runner *r, struct entry *e, uint64_t version);
+
 /* runner_orders.c */
 void runner_order_start(struct mlk_runner *r, struct run *run);
 bool runner_may_start_again(const struct mlk_runner *r, const struct run *run);
--- a/test/test_runner_fence.c
+++ b/test/test_runner_fence.c
@@ -34,6 +34,9 @@
 	uint32_t ends; /* results reported to the entry */
 	enum mlk_run_end last_end;
 	uint32_t acks; /* answers to the worker */
+	uint32_t free_cpu; /* last reported */
+	uint32_t offers;
+	uint64_t confirmed; /* version of the evacuated data centres */
 };
 
 /* An order on its way to the worker. */
@@ -74,6 +77,13 @@
 	case MLK_MSG_WORKER:
 		a->last_sent_at = msg->u.worker.sent_at;
 		a->state = msg->u.worker.info.state;
+		a->free_cpu = msg->u.worker.load.free.cpu;
+		break;
+	case MLK_MSG_OFFER:
+		a->offers++;
+		break;
+	case MLK_MSG_EVACUATIONS:
+		a->confirmed = msg->u.evacuations.version;
 		break;
 	case MLK_MSG_ENDS:
 		a->last_sent_at = msg->u.ends.sent_at;
@@ -266,6 +276,7 @@
 
 	mlk_runner_options_default(&options);
 	(void)g_strlcpy(options.id, id, sizeof(options.id));
+	(void)g_strlcpy(options.dc, "dc-a", sizeof(options.dc));
 	options.incarnation = (uint64_t)t->now;
 	options.nentries = 1;
 	options.entries = entries;
@@ -709,6 +720,99 @@
 	assert_int_equal(gauges.running, 1);
 }
 
+/*
+ * The entry sends a set of evacuated data centres; dc may be NULL.
+ */
+static void
+send_evacuations(struct bench *t, uint64_t version, const char *dc)
+{
+	struct mlk_evacuation item = { .version = version };
+	struct mlk_msg msg = { .type = MLK_MSG_EVACUATIONS };
+
+	if (dc != NULL)
+		(void)g_strlcpy(item.dc, dc, sizeof(item.dc));
+	msg.u.evacuations.version = version;
+	msg.u.evacuations.n = dc != NULL;
+	msg.u.evacuations.items = &item;
+	deliver(t, &t->a, &msg);
+}
+
+/*
+ * Guards against an agent in an evacuated data centre that starts a task,
+ * reports free resources, makes an offer, stops its runs, or takes an older set
+ * for a newer one; and against one that stays evacuated.
+ */
+static void
+test_evacuated_agent_starts_nothing(void **state)
+{
+	struct bench *t = *state;
+	struct mlk_msg want = { .type = MLK_MSG_WANT };
+
+	send_run(t, &t->a);
+	send_evacuations(t, 5, "dc-a");
+	assert_int_equal(t->a.confirmed, 5);
+	assert_int_equal(t->a.free_cpu, 0);
+	send_evacuations(t, 4, NULL);
+	assert_int_equal(t->a.confirmed, 5);
+	want.u.want.sent_at = (uint64_t)t->now;
+	want.u.want.want.tasks = 4;
+	want.u.want.want.resources.cpu = 1000;
+	deliver(t, &t->a, &want);
+	advance(t, 40, NULL);
+	assert_int_equal(t->a.offers, 0);
+	send_run(t, &t->a);
+	assert_int_equal(t->a.starts, 1);
+	assert_int_equal(t->a.last_end, MLK_RUN_REFUSED);
+	advance(t, 1000, NULL);
+	assert_int_equal(t->worker.nruns, 1);
+	send_evacuations(t, 6, "dc-b");
+	assert_true(t->a.free_cpu > 0);
+	advance(t, 5000, NULL);
+	send_run(t, &t->a);
+	assert_int_equal(t->a.starts, 2);
+}
+
+/*
+ * Guards against a start without an answer that is repeated after the data
+ * centre has been evacuated.
+ */
+static void
+test_no_repeated_start_while_evacuated(void **state)
+{
+	struct bench *t = *state;
+
+	t->dark = true;
+	send_run(t, &t->a);
+	send_evacuations(t, 5, "dc-a");
+	t->dark = false;
+	advance(t, 500, NULL);
+	assert_int_equal(t->a.starts, 0);
+	assert_int_equal(t->worker.nruns, 0);
+	assert_int_equal(t->a.ends, 1);
+	assert_int_equal(t->a.last_end, MLK_RUN_REFUSED);
+}
+
+/*
+ * Guards against an agent that never learns a set that was not sent to it
+ * again: a PING shows a higher version, and the agent shows its own.
+ */
+static void
+test_agent_behind_shows_its_version(void **state)
+{
+	struct bench *t = *state;
+	struct mlk_msg msg = { .type = MLK_MSG_PING };
+
+	send_evacuations(t, 5, "dc-a");
+	t->a.confirmed = 0;
+	msg.u.ping.sent_at = (uint64_t)t->now;
+	msg.u.ping.evacuations = 5;
+	deliver(t, &t->a, &msg);
+	assert_int_equal(t->a.confirmed, 0);
+	msg.u.ping.evacuations = 6;
+	deliver(t, &t->a, &msg);
+	assert_int_equal(t->a.confirmed, 5);
+}
+
 int
 main(void)
 {
@@ -741,6 +845,12 @@
 		    test_departed_worker_is_not_used, setup, teardown),
 		cmocka_unit_test_setup_teardown(
 		    test_start_times_out_after_the_end, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_evacuated_agent_starts_nothing, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_no_repeated_start_while_evacuated, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_agent_behind_shows_its_version, setup, teardown),
 	};
 
 	return (cmocka_run_group_tests(tests, NULL, NULL));
