--- a/src/app/metrics.c
+++ b/src/app/metrics.c
@@ -134,6 +134,11 @@
 	G(pools_short, "Pools that are short of capacity")
 	G(wait_ms, "Estimated wait of a job that arrives now, in ms")
 	G(wait_error_ms, "Mean error of the estimated waits, in ms")
+	G(evacuated, "Evacuated data centres")
+	G(evacuations_version, "Version of the evacuated data centres in force")
+	G(evacuations_unconfirmed,
+	    "Agents attached from evacuated data centres that have not "
+	    "confirmed")
 #undef G
 }
 
@@ -181,6 +186,10 @@
 	G("free_mem_mb", gauges->free.mem_mb,
 	    "Free memory of the worker, in MB")
 	G("fence", gauges->fence, "Fence of the next order to the worker")
+	G("evacuated", gauges->evacuated,
+	    "1 while the data centre of this agent is evacuated")
+	G("evacuations_version", gauges->evacuations_version,
+	    "Version of the evacuated data centres in force")
 #undef G
 }
 
