--- a/src/dispatch/dispatcher_admit.c
+++ b/src/dispatch/dispatcher_admit.c
@@ -23,10 +23,15 @@
  * 64 leave 4 %.
  */
 #define USABLE_SHARE 0.97
-/* Work ahead that is kept, as the time in which the pool does it. */
-#define BACKLOG_NS (30 * MS)
-/* Work beyond that is to be done within this time. */
+/*
+ * Part of the slack of a queue's jobs for which its work may wait.  Some
+ * waiting work keeps the workers busy; the rest of the slack is for run times
+ * and arrivals that vary.
+ */
+#define BACKLOG_SLACK 0.3
+/* Work that waits beyond that is to be done within this time. */
 #define BACKLOG_DRAIN_NS (300 * MS)
+#define SLACK_WEIGHT 0.05 /* of one job in the mean slack of its queue */
 /* Offered part of the usable capacity from which a pool counts as short. */
 #define SHORT_LOAD 0.9
 #define SHORT_LOG_NS (1000 * MS) /* between two log lines on one pool */
@@ -46,7 +51,9 @@
 	double weight;
 	double fraction; /* of the arriving jobs that is admitted */
 	double offered; /* by all entries, thousandths of a core */
+	double queued; /* work that waits at all entries */
 	double share;
+	double slack; /* mean of the jobs on arrival, ns */
 	int64_t next_retry_at; /* of the next refused caller */
 };
 
@@ -56,6 +63,7 @@
 	double free;
 	double offered;
 	double queued; /* work at all entries */
+	double excess; /* part of it that waits longer than wanted */
 	int64_t age; /* of the oldest peer report in it */
 	uint32_t entries; /* that it is made from */
 	bool is_short;
@@ -167,6 +175,7 @@
 		p->free = 0;
 		p->offered = 0;
 		p->queued = 0;
+		p->excess = 0;
 		p->age = 0;
 		p->entries = 1;
 	}
@@ -211,6 +220,10 @@
 	q->usual = total.usual;
 	q->demand = total.offered;
 	c->routes[c->n++] = r;
+	r->offered = total.offered;
+	r->queued = total.queued;
+	c->pool->excess += MAX(
+	    total.queued - total.offered * r->slack / MS * BACKLOG_SLACK, 0);
 	c->pool->offered += total.offered;
 	c->pool->queued += total.queued;
 	c->pool->entries = MAX(c->pool->entries, total.entries);
@@ -218,18 +231,14 @@
 }
 
 /*
- * Returns the capacity that arriving jobs may use: what work ahead of them
- * leaves.
+ * Returns the capacity that arriving jobs may use: what work that waits too
+ * long leaves.
  */
 static double
 open_capacity(const struct admission_pool *p)
 {
-	double usable = p->capacity * USABLE_SHARE, excess;
-
-	excess = p->queued - usable * BACKLOG_NS / MS;
-	if (excess <= 0)
-		return (usable);
-	return (MAX(usable - excess * MS / BACKLOG_DRAIN_NS, 0));
+	return (MAX(
+	    p->capacity * USABLE_SHARE - p->excess * MS / BACKLOG_DRAIN_NS, 0));
 }
 
 static void
@@ -262,13 +271,12 @@
 	shares_compute(c.queues, c.n, open_capacity(p));
 	for (i = 0; i < c.n; i++) {
 		r = c.routes[i];
-		r->offered = c.queues[i].demand;
 		r->share = c.queues[i].share;
 		r->fraction = r->offered > 0 ? r->share / r->offered : 1;
 	}
 	log_short(d, p,
 	    p->offered > p->capacity * USABLE_SHARE * SHORT_LOAD ||
-		p->queued > p->capacity * BACKLOG_NS / MS);
+		p->excess > 0);
 }
 
 /*
@@ -326,14 +334,28 @@
 }
 
 /*
- * Returns the expected time until work that arrives now is started, in ns.
+ * Returns the expected time until work with this slack that arrives now is
+ * started, in ns.  Work is done in order of its slack, so only work with less
+ * slack is ahead.
  */
 static int64_t
-expected_wait(const struct admission_pool *p)
+expected_wait(const struct mlk_dispatcher *d, const struct admission_pool *p,
+    double slack)
 {
+	const struct admission_route *r;
+	GHashTableIter iter;
+	double ahead = 0;
+	gpointer value;
+
 	if (p->capacity <= 0)
 		return (0);
-	return ((int64_t)(p->queued / (p->capacity * USABLE_SHARE) * MS));
+	g_hash_table_iter_init(&iter, d->admission->routes);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		r = value;
+		if (r->slack <= slack && strcmp(r->pool, p->name) == 0)
+			ahead += r->queued;
+	}
+	return ((int64_t)(ahead / (p->capacity * USABLE_SHARE) * MS));
 }
 
 /*
@@ -352,8 +374,8 @@
 	    "%.1f free, %" PRId64 " ms of work ahead, %u entries, reports "
 	    "%" PRId64 " ms old; slack %" PRId64 " ms, back in %u ms",
 	    cause, r->offered / 1000, r->share / 1000, p->free / 1000,
-	    p->capacity / 1000, expected_wait(p) / MS, p->entries, p->age / MS,
-	    (job->start_by - d->now) / MS, retry_ms);
+	    p->capacity / 1000, job->wait_expected / MS, p->entries,
+	    p->age / MS, (job->start_by - d->now) / MS, retry_ms);
 	dispatch_job_refuse(d, job, retry_ms);
 }
 
@@ -378,14 +400,16 @@
 	struct admission_route *r;
 	struct admission_pool *p;
 	const char *cause = NULL;
-	double work;
+	double work, slack;
 
 	if (d->admission == NULL)
 		return (true);
 	work = job_work(d, job);
 	r = route_get(d, job->route);
 	p = pool_get(d->admission, job->pool);
-	job->wait_expected = expected_wait(p);
+	slack = (double)(job->start_by - job->arrived);
+	r->slack += (slack - r->slack) * (r->slack == 0 ? 1 : SLACK_WEIGHT);
+	job->wait_expected = expected_wait(d, p, slack);
 	if (p->capacity > 0 && !is_capacity_unknown(d) &&
 	    !dispatch_fits_now(d, job)) {
 		if (r->fraction < 1 &&
@@ -455,8 +479,8 @@
 		out->free_cpu += (uint64_t)p->free;
 		out->offered_cpu += (uint64_t)p->offered;
 		out->pools_short += p->is_short;
-		out->wait_ms =
-		    MAX(out->wait_ms, (uint64_t)(expected_wait(p) / MS));
+		out->wait_ms = MAX(out->wait_ms,
+		    (uint64_t)(expected_wait(d, p, INFINITY) / MS));
 	}
 	out->wait_error_ms = (uint64_t)d->admission->error_ms;
 }
