runner: offer resources shortly before the expected end of a run

Change: with offers.ahead_ms resources are offered before the run that holds them ends; tasks that arrive earlier are held at the agent for at most 20 ms.

--- a/include/monsoonlock/app.h
+++ b/include/monsoonlock/app.h
@@ -116,6 +116,7 @@
 	char worker_address[MLK_ADDR_MAX];
 	char announcements_listen[MLK_ADDR_MAX];
 	char pool[MLK_NAME_MAX]; /* of the worker; empty: any */
+	uint32_t offer_ahead_ms;
 };
 
 int mlk_site_entry_settings_load(const char *path,
--- a/include/monsoonlock/dispatch.h
+++ b/include/monsoonlock/dispatch.h
@@ -286,37 +286,41 @@
 	uint32_t entry_lease_ms; /* the runs of an entry that is silent for this
 				    long are stopped */
 	uint32_t grace_ms; /* from the stop event to EXIT */
+	uint32_t offer_ahead_ms; /* resources are offered this long before the
+				    expected end of the run that holds them; 0:
+				    when it has ended */
 	uint32_t nentries; /* addresses from the settings */
 	char (*entries)[MLK_ADDR_MAX];
 };
 
 void mlk_runner_options_default(struct mlk_runner_options *options);
 
-#define MLK_RUNNER_COUNTERS(X)                                     \
-	X(starts, "Starts sent to the worker")                     \
-	X(starts_again, "Starts repeated under a later number")    \
-	X(starts_unanswered, "Starts that got no answer")          \
-	X(starts_void, "Unanswered starts that never took effect") \
-	X(stops, "Stops sent to the worker")                       \
-	X(lists, "Listing orders sent to the worker")              \
-	X(fences, "Times that the fence was raised")               \
-	X(done, "Runs that ended done")                            \
-	X(failed, "Runs that ended failed")                        \
-	X(stopped, "Runs that were stopped")                       \
-	X(lost, "Runs that ended with their lease or worker")      \
-	X(stalled, "Runs moved away from a sick worker")           \
-	X(sick, "Times that the worker was found sick")            \
-	X(degraded, "Times that it was found degraded")            \
-	X(busy, "Tasks answered not run for lack of room")         \
-	X(offers, "Offers of room sent to entries")                \
-	X(offers_lapsed, "Offers that were not answered")          \
-	X(refused, "Tasks answered not run for another cause")     \
-	X(entry_leases, "Times that an entry's lease ran out")     \
-	X(addrs_ignored, "Addresses of entries that are not used") \
-	X(superseded, "Times that another agent took the worker")  \
-	X(boots, "Lives of the worker seen")                       \
-	X(disowned, "Identities that the worker did not confirm")  \
-	X(foreign, "Announcements of another pool")                \
+#define MLK_RUNNER_COUNTERS(X)                                       \
+	X(starts, "Starts sent to the worker")                       \
+	X(starts_again, "Starts repeated under a later number")      \
+	X(starts_unanswered, "Starts that got no answer")            \
+	X(starts_void, "Unanswered starts that never took effect")   \
+	X(stops, "Stops sent to the worker")                         \
+	X(lists, "Listing orders sent to the worker")                \
+	X(fences, "Times that the fence was raised")                 \
+	X(done, "Runs that ended done")                              \
+	X(failed, "Runs that ended failed")                          \
+	X(stopped, "Runs that were stopped")                         \
+	X(lost, "Runs that ended with their lease or worker")        \
+	X(stalled, "Runs moved away from a sick worker")             \
+	X(sick, "Times that the worker was found sick")              \
+	X(degraded, "Times that it was found degraded")              \
+	X(busy, "Tasks answered not run for lack of room")           \
+	X(offers, "Offers of room sent to entries")                  \
+	X(offers_lapsed, "Offers that were not answered")            \
+	X(held, "Tasks held until resources offered ahead are free") \
+	X(refused, "Tasks answered not run for another cause")       \
+	X(entry_leases, "Times that an entry's lease ran out")       \
+	X(addrs_ignored, "Addresses of entries that are not used")   \
+	X(superseded, "Times that another agent took the worker")    \
+	X(boots, "Lives of the worker seen")                         \
+	X(disowned, "Identities that the worker did not confirm")    \
+	X(foreign, "Announcements of another pool")                  \
 	X(evacuated, "Times that the data centre was evacuated")
 
 struct mlk_runner_counters {
--- a/src/app/settings_site.c
+++ b/src/app/settings_site.c
@@ -25,6 +25,7 @@
 #define SITE(member) AT(site.member)
 #define GRACE_MAX_MS 3600000
 #define LEASE_MAX_MS 60000
+#define OFFER_AHEAD_MAX_MS 20 /* tasks that arrive early wait no longer */
 
 #define SITE_RULES                                                            \
 	{ "id", RULE_NAME, SITE(id), true, 0, 0, 0, NULL },                   \
@@ -76,6 +77,8 @@
 	{ "worker.address", RULE_ADDR, AT(u.agent.worker_address), true, 0, 0,
 	    0, NULL },
 	{ "worker.pool", RULE_NAME, AT(u.agent.pool), false, 0, 0, 0, NULL },
+	{ "offers.ahead_ms", RULE_MS, AT(u.agent.offer_ahead_ms), false, 0,
+	    OFFER_AHEAD_MAX_MS, 0, NULL },
 	{ "announcements.listen", RULE_ADDR, AT(u.agent.announcements_listen),
 	    true, 0, 0, 0, NULL },
 };
--- a/src/dispatch/runner.c
+++ b/src/dispatch/runner.c
@@ -61,6 +61,7 @@
 	r->entries = g_ptr_array_new_with_free_func(runner_entry_free);
 	r->runs = g_ptr_array_new();
 	r->offers = g_array_new(FALSE, FALSE, sizeof(struct offer));
+	r->held = runner_held_create();
 	evacuations_init(&r->evacuations);
 	r->by_name = g_hash_table_new(name_hash, name_equal);
 	r->orders =
@@ -88,6 +89,7 @@
 	g_hash_table_destroy(r->by_name);
 	g_ptr_array_free(r->runs, TRUE);
 	(void)g_array_free(r->offers, TRUE);
+	g_ptr_array_free(r->held, TRUE);
 	g_ptr_array_free(r->entries, TRUE);
 	g_free(r);
 }
@@ -126,8 +128,8 @@
 }
 
 /*
- * Returns the capacity of the worker less the resources reserved for runs and
- * offers.
+ * Returns the capacity of the worker less the resources reserved for runs,
+ * offers and held tasks.
  */
 struct mlk_resources
 runner_free(const struct mlk_runner *r)
@@ -136,6 +138,7 @@
 
 	mlk_resources_subtract(&free, &r->reserved);
 	mlk_resources_subtract(&free, &r->offered);
+	mlk_resources_subtract(&free, &r->held_resources);
 	return (free);
 }
 
@@ -273,6 +276,7 @@
 	runner_leave_due(r);
 	runner_links_due(r);
 	runner_runs_due(r);
+	runner_held_due(r);
 	runner_offers_due(r);
 	runner_candidate_due(r);
 	runner_list_due(r);
--- a/src/dispatch/runner_links.c
+++ b/src/dispatch/runner_links.c
@@ -186,6 +186,7 @@
 	(void)g_array_set_size(e->ends, 0);
 	e->want.tasks = 0;
 	runner_offers_forget(r, e);
+	runner_held_drop(r, e, 0);
 	e->reached_at = r->now;
 	e->version = r->newest_row;
 	e->retry_at = r->now + CONNECT_RETRY_NS;
@@ -320,6 +321,7 @@
 	guint i;
 
 	(void)note_sent_at(r, e, msg->u.drop.sent_at);
+	runner_held_drop(r, e, msg->u.drop.job);
 	for (i = r->runs->len; i > 0; i--) {
 		run = g_ptr_array_index(r->runs, i - 1);
 		if (run->entry == e && run->job == msg->u.drop.job)
--- a/src/dispatch/runner_offers.c
+++ b/src/dispatch/runner_offers.c
@@ -148,7 +148,7 @@
 	    runner_on_probation(r))
 		return;
 	for (;;) {
-		free = runner_free(r);
+		free = runner_free_soon(r);
 		e = choose_entry(r, &free);
 		if (e == NULL)
 			return;
--- a/src/dispatch/runner_priv.h
+++ b/src/dispatch/runner_priv.h
@@ -167,6 +167,8 @@
 	uint32_t tries; /* starts sent so far */
 	int64_t sent_at; /* of the last start */
 	int64_t confirmed_at; /* first seen active; 0: not yet */
+	uint32_t forecast_percent; /* progress that ends_at is computed from */
+	int64_t ends_at; /* expected end; 0: unknown */
 	int64_t stop_at; /* time at which the stop was requested */
 	int64_t stop_sent_at;
 	bool stop_wanted; /* a stop was requested; it is sent once the run is
@@ -272,6 +274,8 @@
 	GArray *offers; /* struct offer */
 	uint64_t last_offer;
 	struct mlk_resources offered;
+	GPtrArray *held; /* struct held_task, oldest first */
+	struct mlk_resources held_resources;
 	struct health health;
 	struct evacuations evacuations;
 	enum mlk_worker_state state; /* as last reported to entries */
@@ -296,6 +300,12 @@
     struct mlk_runner *r, const struct mlk_run_name *name);
 void runner_run_add(struct mlk_runner *r, struct entry *e,
     const struct mlk_msg *msg, const struct mlk_run_task *task, GBytes *spec);
+void runner_run_start(struct mlk_runner *r, struct entry *e,
+    const struct mlk_msg *msg, const struct mlk_run_task *task, GBytes *spec,
+    const struct mlk_resources *free);
+void runner_run_reject(struct mlk_runner *r, struct entry *e,
+    const struct mlk_msg *msg, const struct mlk_run_task *task,
+    enum mlk_run_end end);
 void runner_run_ended(
     struct mlk_runner *r, struct run *run, enum mlk_run_end end);
 void runner_run_confirmed(struct mlk_runner *r, struct run *run);
@@ -304,6 +314,17 @@
 void runner_runs_lost(struct mlk_runner *r, const char *cause);
 void runner_runs_due(struct mlk_runner *r);
 
+/* runner_held.c */
+GPtrArray *runner_held_create(void);
+void runner_forecast_end(
+    const struct mlk_runner *r, struct run *run, uint32_t percent);
+struct mlk_resources runner_free_soon(const struct mlk_runner *r);
+bool runner_hold(struct mlk_runner *r, struct entry *e,
+    const struct mlk_msg *msg, const struct mlk_run_task *task, GBytes *spec);
+void runner_held_due(struct mlk_runner *r);
+void runner_held_drop(
+    struct mlk_runner *r, const struct entry *e, uint64_t job);
+
 /* runner_offers.c */
 void runner_offer_want(
     struct mlk_runner *r, struct entry *e, const struct mlk_want *want);
--- a/src/dispatch/runner_runs.c
+++ b/src/dispatch/runner_runs.c
@@ -94,32 +94,59 @@
 }
 
 /*
- * Returns the end to report for a task that cannot be started, or DONE if it
- * can be.
+ * Returns the end to report for a task that cannot be started with these free
+ * resources, or DONE if it can be.
  */
 static enum mlk_run_end
 reject_reason(struct mlk_runner *r, const struct mlk_run_name *name,
-    const struct mlk_resources *need)
+    const struct mlk_resources *need, const struct mlk_resources *free)
 {
-	struct mlk_resources free = runner_free(r);
-
 	if (r->runs->len >= RUNNER_RUNS_MAX)
 		return (MLK_RUN_BUSY);
 	if (runner_run_find(r, name) != NULL)
 		return (MLK_RUN_REFUSED);
-	if (!mlk_resources_fit(&free, need) ||
+	if (!mlk_resources_fit(free, need) ||
 	    (runner_on_probation(r) && r->nactive > 0))
 		return (MLK_RUN_BUSY);
 	return (MLK_RUN_DONE);
 }
 
 /*
- * Starts a task of a RUN message.  Reports BUSY if its resources are not free,
- * and REFUSED while an earlier run of the same task is in the table.
+ * Reports a task of a RUN message as not run.
+ */
+void
+runner_run_reject(struct mlk_runner *r, struct entry *e,
+    const struct mlk_msg *msg, const struct mlk_run_task *task,
+    enum mlk_run_end end)
+{
+	count_end(r, end);
+	queue_result(e, msg->u.run.job, msg->u.run.step, task->index, end, 0);
+}
+
+/*
+ * Starts a task of a RUN message, or holds it until resources are free that
+ * were offered ahead.
  */
 void
 runner_run_add(struct mlk_runner *r, struct entry *e, const struct mlk_msg *msg,
     const struct mlk_run_task *task, GBytes *spec)
+{
+	struct mlk_resources free = runner_free(r);
+
+	if (!mlk_resources_fit(&free, &task->resources) &&
+	    runner_hold(r, e, msg, task, spec))
+		return;
+	runner_run_start(r, e, msg, task, spec, &free);
+}
+
+/*
+ * Starts a task of a RUN message.  Reports BUSY if its resources are not free,
+ * and REFUSED while an earlier run of the same task is in the table.
+ */
+void
+runner_run_start(struct mlk_runner *r, struct entry *e,
+    const struct mlk_msg *msg, const struct mlk_run_task *task, GBytes *spec,
+    const struct mlk_resources *free)
 {
 	struct mlk_run_name name = { 0 };
 	enum mlk_run_end end;
@@ -129,10 +156,9 @@
 	name.step = msg->u.run.step;
 	name.index = task->index;
 	name.run = 1;
-	end = reject_reason(r, &name, &task->resources);
+	end = reject_reason(r, &name, &task->resources, free);
 	if (end != MLK_RUN_DONE) {
-		count_end(r, end);
-		queue_result(e, msg->u.run.job, name.step, name.index, end, 0);
+		runner_run_reject(r, e, msg, task, end);
 		return;
 	}
 	run = g_new0(struct run, 1);
