runner: open fewer connections to workers that reset them

A reset connection ended a listing at once, and the next listing followed at once on another connection, at the rate of the round trip, for as long as some orders were answered. Each listing that confirms a fence, one after every unanswered start, also opened and closed a connection of its own.

An unanswered listing is now followed by the next after 20 ms, doubled up to 50 ms, the interval of a worker that leaves listings unanswered. Fence listings have a channel whose connection is kept after an answer and closed without one, so nothing older is ever in flight on it. A worker that is away or refuses connections still gets a new one for each listing. New counter: lists_fresh.

--- a/include/monsoonlock/dispatch.h
+++ b/include/monsoonlock/dispatch.h
@@ -279,6 +279,7 @@
 	X(starts_void, "Unanswered starts that never took effect") \
 	X(stops, "Stops sent to the worker")                       \
 	X(lists, "Listing orders sent to the worker")              \
+	X(lists_fresh, "Of them on a connection of their own")     \
 	X(fences, "Times that the fence was raised")               \
 	X(done, "Runs that ended done")                            \
 	X(failed, "Runs that ended failed")                        \
--- a/src/dispatch/runner_listing.c
+++ b/src/dispatch/runner_listing.c
@@ -219,12 +219,12 @@
 		return;
 	away = runner_away(r);
 	/*
-	 * A listing for a worker that is away also uses a new connection, since
-	 * the old ones may be dead.
+	 * A listing for a worker that is away or has refused a connection uses
+	 * a new one, since the old ones may be dead.
 	 */
 	if ((w->fence_unconfirmed || away) && w->fence_list == 0 &&
 	    r->now >= w->list_after) {
-		runner_order_list_fence(r);
+		runner_order_list_fence(r, away || w->not_sent > 0);
 		w->list_after = r->now + (away ? PROBE_NS : LIST_RETRY_NS);
 	}
 	if (w->fence_unconfirmed || away || !list_wanted(r))
--- a/src/dispatch/runner_orders.c
+++ b/src/dispatch/runner_orders.c
@@ -4,8 +4,8 @@
  * An order without an answer may be carried out at any later time.  Two things
  * make it void: a higher fence that the worker has seen and, for a start, the
  * end of its lease by the worker's clock.  So after a start without an answer,
- * the fence is raised and a listing is sent under the new fence on a new
- * connection; runner_listing.c applies the result.
+ * the fence is raised and a listing is sent under the new fence on a connection
+ * where nothing older is in flight; runner_listing.c applies the result.
  */
 #include <stdlib.h>
 #include <string.h>
@@ -130,15 +130,18 @@
 }
 
 /*
- * Sends the listing that confirms the current fence.
+ * Sends the listing that confirms the current fence, on a new connection if
+ * `fresh` is set.
  */
 void
-runner_order_list_fence(struct mlk_runner *r)
+runner_order_list_fence(struct mlk_runner *r, bool fresh)
 {
 	struct mlk_order *order;
 
 	order = list_push(r, 0);
-	order->fresh = true;
+	order->channel = CHANNEL_FENCE;
+	order->fresh = fresh;
+	r->counters.lists_fresh += fresh;
 	r->worker.fence_list = order->order;
 }
 
@@ -169,6 +172,7 @@
 	order->fresh = true;
 	c->list = order->order;
 	r->counters.lists++;
+	r->counters.lists_fresh++;
 }
 
 /*
@@ -439,6 +443,19 @@
 	c->replaced = false;
 }
 
+/*
+ * Delays the next listing after one without an answer.  A connection that is
+ * reset ends the listing at once, and without a delay the next one would follow
+ * on a new connection after one round trip.
+ */
+static void
+list_unanswered(struct worker *w, const struct order *order)
+{
+	w->list_retry =
+	    CLAMP(w->list_retry * 2, LIST_RETRY_NS, LIST_RETRY_MAX_NS);
+	w->list_after = MAX(w->list_after, order->sent_at + w->list_retry);
+}
+
 static void
 list_ended(struct mlk_runner *r, const struct mlk_runner_event *ev,
     const struct order *order)
@@ -451,9 +468,13 @@
 	}
 	if (r->worker.fence_list == order->id)
 		r->worker.fence_list = 0;
+	if (was_answered(ev->u.order.result))
+		r->worker.list_retry = 0;
 	if (ev->u.order.result == MLK_ORDER_OK)
 		runner_listed(r, ev, order);
-	else if (ev->u.order.result != MLK_ORDER_NO_ANSWER)
+	else if (ev->u.order.result == MLK_ORDER_NO_ANSWER)
+		list_unanswered(&r->worker, order);
+	else
 		r->worker.list_after =
 		    MAX(r->worker.list_after, r->now + LIST_RETRY_NS);
 }
--- a/src/dispatch/runner_priv.h
+++ b/src/dispatch/runner_priv.h
@@ -43,6 +43,12 @@
  */
 #define LIST_HEDGE_NS (30 * MS)
 #define LISTS_MAX 2
+/*
+ * The channel of the listings that confirm a fence.  Its calls are sequential
+ * and an unanswered one closes its connection, so a listing on it never follows
+ * an order without an answer.
+ */
+#define CHANNEL_FENCE LISTS_MAX
 /*
  * The notice of a worker that it exits is acknowledged when its runs have
  * ended, at the latest after this time: long enough to repeat a lost stop, and
@@ -56,6 +62,12 @@
  * being stopped, and after a failed listing.
  */
 #define LIST_RETRY_NS (20 * MS)
+/*
+ * Longest interval from an unanswered listing to the next, doubled each time: a
+ * worker that resets connections gets no more listings than a silent one, where
+ * each waits for its timeout.
+ */
+#define LIST_RETRY_MAX_NS (ORDER_TIMEOUT_MS * MS)
 /*
  * A worker that has not answered for this long is away: it counts as
  * unreachable and is reported as unavailable.
@@ -236,6 +248,8 @@
 	int64_t answered_at;
 	int64_t unanswered_since; /* first unanswered order; 0: none */
 	uint32_t not_sent; /* consecutive orders without a connection */
+	int64_t list_retry; /* interval from the last unanswered listing to the
+			       next; 0: the last one was answered */
 	uint64_t acked; /* last end number processed */
 	uint64_t ack_sent; /* last end number whose acknowledgement the worker
 			      has received */
@@ -315,7 +329,7 @@
 void runner_order_stop(struct mlk_runner *r, struct run *run);
 void runner_order_stop_foreign(
     struct mlk_runner *r, const struct mlk_run_name *name);
-void runner_order_list_fence(struct mlk_runner *r);
+void runner_order_list_fence(struct mlk_runner *r, bool fresh);
 void runner_order_list(struct mlk_runner *r, uint32_t slot, uint32_t wait_ms);
 void runner_order_list_candidate(struct mlk_runner *r);
 void runner_order_ended(
--- a/test/dispatch_world.c
+++ b/test/dispatch_world.c
@@ -28,6 +28,7 @@
 #define LATE_MIN_MS 60 /* delay of a late order */
 #define ORDER_DROP_PERCENT 40
 #define CONN_REFUSED_PERCENT 40
+#define CONN_RESET_PERCENT 80
 #define REFUSAL_RETRIES_MAX 4U
 #define LATE_MAX_MS 6000
 
@@ -142,6 +143,7 @@
 	int64_t answers_lost_until;
 	int64_t drop_until;
 	int64_t refuse_until;
+	int64_t reset_until;
 	uint32_t refuse_percent; /* share of the connections that are refused */
 	uint32_t loss_percent; /* share of the orders that are late or lose
 				  their answer */
@@ -747,6 +749,9 @@
 	bool answered = true;
 	struct event *ev;
 
+	/* A fresh connection serves one order. */
+	w->stats.connections += order->fresh;
+	w->stats.fresh += order->fresh;
 	/* The agent ignores this if the result of the order came before it. */
 	none.u.order.order = order->order;
 	none.u.order.result = MLK_ORDER_NO_ANSWER;
@@ -760,9 +765,18 @@
 	}
 	if (w->now < a->drop_until && below(w, 100) < ORDER_DROP_PERCENT) {
 		mlk_blob_clear(&order->spec);
+		w->stats.connections += !order->fresh;
 		return;
 	}
-	if (w->now < a->silent_until) {
+	if (w->now < a->reset_until && below(w, 100) < CONN_RESET_PERCENT) {
+		push_order_result(w, i, a->generation, w->now + 1, 0, &none);
+		answered = false;
+		if (below(w, 2) == 0) {
+			mlk_blob_clear(&order->spec);
+			w->stats.connections += !order->fresh;
+			return;
+		}
+	} else if (w->now < a->silent_until) {
 		answered = false;
 		at = below(w, 2) == 0 ? at : a->silent_until;
 	} else if (w->now < a->late_until && below(w, 100) < a->loss_percent) {
@@ -772,6 +786,8 @@
 	    below(w, 100) < a->loss_percent) {
 		answered = false;
 	}
+	/* An order without an answer ends the connection that it used. */
+	w->stats.connections += !answered && !order->fresh;
 	ev = push(w, at, EV_ORDER, i);
 	ev->generation = a->generation;
 	ev->order = *order;
@@ -1386,6 +1402,9 @@
 		    below(w, 2) == 0 ? CONN_REFUSED_PERCENT : 100;
 		extend(&w->agents[b].refuse_until, w->now, ev->ms);
 		break;
+	case WORLD_CONNS_RESET:
+		extend(&w->agents[b].reset_until, w->now, ev->ms);
+		break;
 	case WORLD_CALLERS_LEAVE:
 		extend(&w->leave_until, w->now, ev->ms);
 		break;
--- a/test/dispatch_world.h
+++ b/test/dispatch_world.h
@@ -51,6 +51,9 @@
 	WORLD_ORDERS_DROPPED, /* 40 % of the orders to b are lost */
 	WORLD_CONNS_REFUSED, /* b works on, but refuses 40 % or all of the
 				connections of its agent */
+	WORLD_CONNS_RESET, /* 80 % of the orders to b end at once with a reset
+			      of their connection; half of these are carried
+			      out */
 	WORLD_CALLERS_LEAVE, /* some callers who send in this time disconnect
 				 early */
 	WORLD_FOREIGN_ANNOUNCEMENTS, /* agent b gets announcements that its
@@ -105,6 +108,8 @@
 	uint32_t gone; /* callers that disconnected early for good */
 	uint32_t unanswered; /* jobs without an answer at the end */
 	uint32_t runs; /* started at the workers */
+	uint32_t connections; /* that agents had to open for orders */
+	uint32_t fresh; /* of these for one order each */
 	uint32_t tasks_refused; /* by the agents that are up at the end */
 };
 
--- a/test/test_runner.c
+++ b/test/test_runner.c
@@ -7,6 +7,7 @@
 #include <stddef.h>
 #include <stdint.h>
 #include <stdio.h>
+#include <string.h>
 
 #include <cmocka.h>
 
@@ -17,6 +18,9 @@
 #define START_AT 1001 /* the world starts at 1000 */
 #define FAULT_MS 4000
 #define END_AT 16000
+/* Connections that a worker with a fault may cost. */
+#define RESETS_PER_S 25
+#define FRESH_PER_S 1
 #define REFUSALS_MAX 32 /* one RUN of 8 tasks at each of 4 agents */
 
 static const struct world_options base_options = { .entries = 2,
@@ -187,6 +191,7 @@
  * works on, is taken for one that has exited.
  */
 FAULT_TEST(test_conns_refused, WORLD_CONNS_REFUSED, FAULT_MS, 85)
+FAULT_TEST(test_conns_reset, WORLD_CONNS_RESET, FAULT_MS, 85)
 FAULT_TEST(test_callers_leave, WORLD_CALLERS_LEAVE, FAULT_MS, 60)
 
 /*
@@ -214,6 +219,54 @@
 	}
 }
 
+/*
+ * Runs worlds with one fault and sums up the connections that agents open.
+ */
+static void
+count_connections(enum world_fault fault, struct world_stats *sum)
+{
+	struct world_options options = base_options;
+	struct world_stats stats;
+
+	memset(sum, 0, sizeof(*sum));
+	for (options.seed = 1; options.seed <= SEEDS; options.seed++) {
+		run_world(&options, fault, FAULT_MS, &stats);
+		sum->connections += stats.connections;
+		sum->fresh += stats.fresh;
+	}
+	print_message("%u connections for orders, %u of them for one each\n",
+	    sum->connections, sum->fresh);
+}
+
+/*
+ * Guards against connections that are opened in a loop: the reset of one ends a
+ * listing at once, and the next listing follows at once on another.
+ */
+static void
+test_connections_in_resets(void **state)
+{
+	struct world_stats sum;
+
+	(void)state;
+	count_connections(WORLD_CONNS_RESET, &sum);
+	assert_in_range(
+	    sum.connections, 1, SEEDS * RESETS_PER_S * FAULT_MS / 1000);
+}
+
+/*
+ * Guards against a new connection for each listing that confirms a fence, while
+ * the connection of the last one is at hand.
+ */
+static void
+test_connections_in_drops(void **state)
+{
+	struct world_stats sum;
+
+	(void)state;
+	count_connections(WORLD_ORDERS_DROPPED, &sum);
+	assert_in_range(sum.fresh, 1, SEEDS * FRESH_PER_S * FAULT_MS / 1000);
+}
+
 #define RESTART_GAP_MS 400
 #define RESTART_MS 700
 #define START_ANSWER_MS 20
@@ -316,6 +369,9 @@
 		cmocka_unit_test(test_answers_lost),
 		cmocka_unit_test(test_orders_dropped),
 		cmocka_unit_test(test_conns_refused),
+		cmocka_unit_test(test_conns_reset),
+		cmocka_unit_test(test_connections_in_resets),
+		cmocka_unit_test(test_connections_in_drops),
 		cmocka_unit_test(test_callers_leave),
 		cmocka_unit_test(test_refusals_do_not_loop),
 		cmocka_unit_test(test_restarts_under_load),
