dispatch: speeds of workers and spread of run times decide placement

Tasks went to the least loaded worker whatever its speed. Agents now measure the speed of their worker over completed runs against the entries' expected run times, robust against the tail and against wrong estimates, and report it in WORKER. Entries keep the distribution of run times by route at speed 1 (runtime_dist.c) in place of a mean. Where the speeds in a pool differ by a quarter, the probability that the tasks end within what is left of the job's goal is a part of a worker's cost, and a job that would end late on a slow worker leaves its free resources to a later one that fits. Expected run times are relative to the mean speed of the pool, since agents and entries measure each with the figures of the other. Health judges progress by the speed of the worker.

--- a/include/monsoonlock/dispatch.h
+++ b/include/monsoonlock/dispatch.h
@@ -288,6 +288,7 @@
 	X(stalled, "Runs moved away from a sick worker")           \
 	X(sick, "Times that the worker was found sick")            \
 	X(degraded, "Times that it was found degraded")            \
+	X(speed_changes, "Changes of its speed by over a fifth")   \
 	X(busy, "Tasks answered not run for lack of room")         \
 	X(offers, "Offers of room sent to entries")                \
 	X(offers_lapsed, "Offers that were not answered")          \
@@ -312,6 +313,7 @@
 	struct mlk_resources capacity;
 	struct mlk_resources free;
 	uint64_t fence;
+	uint32_t speed; /* of the worker, in thousandths; 0: unknown */
 };
 
 struct mlk_runner;
@@ -466,6 +468,7 @@
 	X(tasks_busy, "Tasks that came back for lack of room")             \
 	X(looks, "Jobs and workers looked at for a place")                 \
 	X(wants, "Messages that asked for room")                           \
+	X(unsuited, "Times that a job was not given to a slow worker")     \
 	X(offers_taken, "Offers of room that were used")                   \
 	X(offers_passed, "Offers of room that were not")                   \
 	X(tasks_refused, "Tasks that came back not run for another cause") \
--- a/src/app/metrics.c
+++ b/src/app/metrics.c
@@ -154,6 +154,8 @@
 	    "Memory of the worker, in MB")
 	G("free_mem_mb", gauges->free.mem_mb,
 	    "Free memory of the worker, in MB")
+	G("speed", gauges->speed,
+	    "Measured speed of the worker, in thousandths; 0: unknown")
 	G("fence", gauges->fence, "Fence of the next order to the worker")
 #undef G
 }
--- a/src/dispatch/dispatcher.c
+++ b/src/dispatch/dispatcher.c
@@ -48,6 +48,8 @@
 	d->runtimes =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	d->queue = g_sequence_new(NULL);
+	d->pool_speeds =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	d->updated_agents = g_ptr_array_new();
 	d->new_jobs = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	g_queue_init(&d->parked);
@@ -66,6 +68,7 @@
 	(void)g_array_free(d->new_jobs, TRUE);
 	g_queue_clear_full(&d->parked, dispatch_parked_free);
 	g_hash_table_destroy(d->runtimes);
+	g_hash_table_destroy(d->pool_speeds);
 	g_hash_table_destroy(d->by_request);
 	g_hash_table_destroy(d->by_id);
 	g_hash_table_destroy(d->jobs);
--- a/src/dispatch/dispatcher_agents.c
+++ b/src/dispatch/dispatcher_agents.c
@@ -173,6 +173,8 @@
 	 */
 	if (!a->has_info)
 		ping(d, a);
+	if (info->speed != a->info.speed || (!a->has_info && info->speed != 0))
+		d->speeds_changed = true;
 	a->has_info = true;
 	a->info = *info;
 	apply_load(d, a, msg->u.worker.seen, &msg->u.worker.load);
@@ -227,6 +229,7 @@
 
 	a->link = 0;
 	a->has_info = false;
+	d->speeds_changed = d->speeds_changed || a->info.speed != 0;
 	a->want_tasks = 0;
 	a->detached_until = d->now + DETACHED_NS;
 	(void)g_array_set_size(a->unacked, 0);
--- a/src/dispatch/dispatcher_jobs.c
+++ b/src/dispatch/dispatcher_jobs.c
@@ -196,11 +196,12 @@
 }
 
 static void
-task_done(struct mlk_dispatcher *d, struct task *task, uint32_t run_ms)
+task_done(struct mlk_dispatcher *d, struct task *task, const struct agent *a,
+    uint32_t run_ms)
 {
 	struct job *job = task->job;
 
-	dispatch_runtime_record(d, job, task->step, run_ms);
+	dispatch_runtime_record(d, job, task->step, a, run_ms);
 	task->state = TASK_DONE;
 	job->left[task->step]--;
 	job->nleft--;
@@ -243,7 +244,7 @@
 		task->job->ran = true;
 	switch (end) {
 	case MLK_RUN_DONE:
-		task_done(d, task, run_ms);
+		task_done(d, task, a, run_ms);
 		return;
 	case MLK_RUN_FAILED:
 		task_failed(d, task, a);
--- a/src/dispatch/dispatcher_pace.c
+++ b/src/dispatch/dispatcher_pace.c
@@ -1,17 +1,16 @@
 /*
- * Run time of the tasks of a route, relative to the callers' estimates.  The
- * estimates are rough and biased in the same way for all jobs of a route.  The
- * mean ratio corrects them; it is a mean of logarithms because run times are
- * long-tailed.
+ * Run time of the tasks of a route at speed 1, relative to the callers'
+ * estimates.  The estimates are rough and biased in the same way for all jobs
+ * of a route.  The mean ratio corrects them; it is a mean of logarithms because
+ * run times are long-tailed.
  */
 #include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "dispatcher_priv.h"
+#include "runtime_dist.h"
 
-#define RUNTIME_WINDOW 64U /* runs after which old ones decay exponentially */
-#define RUNTIME_MIN_RUNS 8U /* runs before the mean is used */
 #define STRETCH_UNIT 1000
 /*
  * The table also keeps routes that were removed; it is cleared when it has this
@@ -19,39 +18,36 @@
  */
 #define RUNTIME_ROUTES_MAX 4096U
 
-static struct runtime_stats *
-runtime_stats_get(struct mlk_dispatcher *d, const char *route)
+static struct runtime_dist *
+runtime_dist_get(struct mlk_dispatcher *d, const char *route)
 {
-	struct runtime_stats *stats;
+	struct runtime_dist *dist;
 
-	stats = g_hash_table_lookup(d->runtimes, route);
-	if (stats != NULL)
-		return (stats);
+	dist = g_hash_table_lookup(d->runtimes, route);
+	if (dist != NULL)
+		return (dist);
 	if (g_hash_table_size(d->runtimes) >= RUNTIME_ROUTES_MAX)
 		g_hash_table_remove_all(d->runtimes);
-	stats = g_new0(struct runtime_stats, 1);
-	(void)g_hash_table_insert(d->runtimes, g_strdup(route), stats);
-	return (stats);
+	dist = g_new0(struct runtime_dist, 1);
+	(void)g_hash_table_insert(d->runtimes, g_strdup(route), dist);
+	return (dist);
 }
 
 /*
- * Adds the run time of a completed run to the statistics of its route.
+ * Adds the run time of a run that was completed on the worker of an agent to
+ * the distribution of its route.
  */
 void
 dispatch_runtime_record(struct mlk_dispatcher *d, const struct job *job,
-    uint32_t step, uint32_t run_ms)
+    uint32_t step, const struct agent *a, uint32_t run_ms)
 {
 	uint32_t estimate_ms = job->steps[step].estimate_ms;
-	struct runtime_stats *stats;
-	double ratio;
 
 	if (estimate_ms == 0)
 		return;
-	stats = runtime_stats_get(d, job->route);
-	ratio = log2((double)MAX(run_ms, 1) / estimate_ms);
-	if (stats->n < RUNTIME_WINDOW)
-		stats->n++;
-	stats->log_ratio += (ratio - stats->log_ratio) / stats->n;
+	runtime_dist_add(runtime_dist_get(d, job->route),
+	    log2((double)MAX(run_ms, 1) / estimate_ms) +
+		dispatch_agent_log_speed(a));
 }
 
 /*
@@ -62,14 +58,13 @@
 dispatch_runtime_expected_ms(
     struct mlk_dispatcher *d, const struct job *job, uint32_t step)
 {
-	const struct runtime_stats *stats;
+	const struct runtime_dist *dist;
 	double ms;
 
-	stats = g_hash_table_lookup(d->runtimes, job->route);
-	if (stats == NULL || stats->n < RUNTIME_MIN_RUNS ||
-	    job->steps[step].estimate_ms == 0)
+	dist = g_hash_table_lookup(d->runtimes, job->route);
+	if (!runtime_dist_known(dist) || job->steps[step].estimate_ms == 0)
 		return (0);
-	ms = job->steps[step].estimate_ms * exp2(stats->log_ratio);
+	ms = job->steps[step].estimate_ms * exp2(dist->log_ratio);
 	return ((uint32_t)CLAMP(ms, 1.0, (double)UINT32_MAX / 2));
 }
 
@@ -86,6 +81,30 @@
 	return (ms != 0 ? ms : job->steps[step].estimate_ms);
 }
 
+/*
+ * Returns the expected run time in ms of the longest chain of steps that come
+ * after a step.
+ */
+uint32_t
+dispatch_runtime_after_ms(
+    struct mlk_dispatcher *d, const struct job *job, uint32_t step)
+{
+	uint64_t chain[MLK_STEPS_MAX] = { 0 }, longest = 0;
+	uint32_t i, k;
+
+	for (i = step + 1; i < job->nsteps; i++) {
+		for (k = step; k < i; k++) {
+			if ((job->steps[i].after >> k & 1) == 0 ||
+			    (k != step && chain[k] == 0))
+				continue;
+			chain[i] = MAX(chain[i],
+			    chain[k] + dispatch_runtime_ms(d, job, i));
+		}
+		longest = MAX(longest, chain[i]);
+	}
+	return ((uint32_t)MIN(longest, (uint64_t)UINT32_MAX));
+}
+
 /*
  * Returns the target response time of a job: the target of its route plus
  * `stretch` thousandths of the run time of its longest chain of steps.
--- a/src/dispatch/dispatcher_place.c
+++ b/src/dispatch/dispatcher_place.c
@@ -121,19 +121,22 @@
 }
 
 /*
- * Chooses the worker for n tasks of a job with equal resource needs.  Returns
- * NULL when no worker is known to have enough free for one task; *fit is the
- * number of tasks that it can hold.
+ * Chooses the worker for n tasks of a step.  Returns NULL when no worker is
+ * known to have enough free for one task; *fit is the number of tasks that it
+ * can hold.
  */
 static struct agent *
-choose_worker(struct mlk_dispatcher *d, const struct job *job,
-    const struct mlk_resources *need, uint32_t n, uint32_t *fit)
+choose_worker(struct mlk_dispatcher *d, const struct job *job, uint32_t step,
+    uint32_t n, uint32_t *fit)
 {
+	const struct mlk_resources *need = &job->steps[step].resources;
 	struct agent *a, *best = NULL;
 	struct mlk_resources free;
+	struct time_fit time;
 	uint32_t c, f, best_cost = UINT32_MAX, ties = 0;
 	guint i;
 
+	dispatch_fit_begin(d, job, step, &time);
 	for (i = 0; i < d->agents->len; i++) {
 		a = g_ptr_array_index(d->agents, i);
 		if (!usable(d, a, job->pool) || avoided(job, a))
@@ -143,7 +146,7 @@
 		f = mlk_resources_count(&free, need, n);
 		if (f == 0)
 			continue;
-		c = cost(a, &free, need, f, n);
+		c = cost(a, &free, need, f, n) + dispatch_fit_cost(&time, a, f);
 		ties = c < best_cost ? 1 : ties + (c == best_cost);
 		if (c > best_cost ||
 		    (c == best_cost && mlk_rng_below(&d->rng, ties) != 0))
@@ -261,8 +264,7 @@
 
 	for (step = 0; step < job->nsteps; step++) {
 		while ((n = queued_in_step(job, step)) > 0) {
-			a = choose_worker(
-			    d, job, &job->steps[step].resources, n, &fit);
+			a = choose_worker(d, job, step, n, &fit);
 			if (a == NULL)
 				return (false);
 			(void)send_run(d, job, step, fit, a, 0);
@@ -353,10 +355,30 @@
 }
 
 /*
- * Places the first jobs in the queue that fit on one worker.
+ * Tells whether to give a worker n tasks of a step, or to leave its resources
+ * to a later job that suits its speed.  `any` gives it any task.
+ */
+static bool
+suits(struct mlk_dispatcher *d, const struct agent *a, const struct job *job,
+    uint32_t step, uint32_t n, bool any)
+{
+	struct time_fit time;
+
+	if (any || !a->uneven)
+		return (true);
+	dispatch_fit_begin(d, job, step, &time);
+	if (dispatch_fit_suits(&time, a, n))
+		return (true);
+	d->counters.unsuited++;
+	return (false);
+}
+
+/*
+ * Places the first jobs in the queue that fit on one worker and, unless `any`
+ * is set, suit its speed.
  */
 static void
-place_on_agent(struct mlk_dispatcher *d, struct agent *a)
+place_on_agent(struct mlk_dispatcher *d, struct agent *a, bool any)
 {
 	struct queue_walk walk;
 	uint32_t misses = 0, step, n = 0;
@@ -370,7 +392,7 @@
 		free = dispatch_agent_available(a);
 		if (usable(d, a, job->pool) && !avoided(job, a))
 			step = step_that_fits(job, &free, &n);
-		if (step < job->nsteps)
+		if (step < job->nsteps && suits(d, a, job, step, n, any))
 			(void)send_run(d, job, step, n, a, 0);
 		else
 			misses++;
@@ -408,11 +430,16 @@
 place_changes(struct mlk_dispatcher *d)
 {
 	bool missed = false;
+	struct agent *a;
 	struct job *job;
 	guint i;
 
-	for (i = 0; i < d->updated_agents->len; i++)
-		place_on_agent(d, g_ptr_array_index(d->updated_agents, i));
+	for (i = 0; i < d->updated_agents->len; i++) {
+		a = g_ptr_array_index(d->updated_agents, i);
+		place_on_agent(d, a, false);
+		if (a->uneven)
+			place_on_agent(d, a, true);
+	}
 	for (i = 0; i < d->new_jobs->len; i++) {
 		job = g_hash_table_lookup(
 		    d->jobs, &g_array_index(d->new_jobs, uint64_t, i));
@@ -434,6 +461,7 @@
 	/* After a pause, first read which callers have disconnected. */
 	if (d->now < d->paused_until)
 		return;
+	dispatch_speeds_due(d);
 	if (d->place_due && d->nqueued > 0) {
 		missed = d->backlog && !tick ? place_changes(d) : place_all(d);
 		if (missed)
@@ -446,6 +474,30 @@
 	(void)g_array_set_size(d->new_jobs, 0);
 }
 
+/*
+ * Answers an offer with the first job in the queue that fits and, unless `any`
+ * is set, suits the speed of the worker.  Returns NULL when there is none.
+ */
+static struct mlk_msg *
+take_offer(struct mlk_dispatcher *d, struct agent *a, const struct mlk_msg *msg,
+    bool any)
+{
+	struct queue_walk walk;
+	uint32_t step, n = 0;
+	struct job *job;
+
+	dispatch_walk_begin(d, &walk);
+	while ((job = dispatch_walk_next(&walk)) != NULL) {
+		if (!usable(d, a, job->pool) || avoided(job, a))
+			continue;
+		step = step_that_fits(job, &msg->u.offer.resources, &n);
+		if (step < job->nsteps && suits(d, a, job, step, n, any))
+			return (
+			    send_run(d, job, step, n, a, msg->u.offer.offer));
+	}
+	return (NULL);
+}
+
 /*
  * Handles OFFER: the most urgent queued tasks that fit are sent.
  */
@@ -454,22 +506,14 @@
     struct mlk_dispatcher *d, struct agent *a, const struct mlk_msg *msg)
 {
 	struct mlk_msg *reply = NULL;
-	struct queue_walk walk;
 	struct mlk_want want;
-	uint32_t step, n = 0;
-	struct job *job;
 
 	a->last_recv = d->now;
 	a->echo = msg->u.offer.sent_at;
-	dispatch_walk_begin(d, &walk);
-	while (d->now >= d->paused_until && reply == NULL &&
-	    (job = dispatch_walk_next(&walk)) != NULL) {
-		if (!usable(d, a, job->pool) || avoided(job, a))
-			continue;
-		step = step_that_fits(job, &msg->u.offer.resources, &n);
-		if (step < job->nsteps)
-			reply =
-			    send_run(d, job, step, n, a, msg->u.offer.offer);
+	if (d->now >= d->paused_until) {
+		reply = take_offer(d, a, msg, false);
+		if (reply == NULL && a->uneven)
+			reply = take_offer(d, a, msg, true);
 	}
 	dispatch_queue_want(d, a->info.pool, &want);
 	if (d->now < d->paused_until)
--- a/src/dispatch/dispatcher_priv.h
+++ b/src/dispatch/dispatcher_priv.h
@@ -119,6 +119,13 @@
 	int64_t want_at; /* time of the last WANT sent */
 	uint32_t want_tasks; /* tasks in the last WANT */
 	int64_t want_start; /* urgency in the last WANT, as a time */
+	/*
+	 * Speeds in log2, relative to the mean of the pool; 0 unless its speeds
+	 * are `uneven`.
+	 */
+	bool uneven;
+	double log_speed; /* of its worker */
+	double log_fastest; /* of the fastest worker in the pool */
 	int64_t detached_until; /* time at which its detached tasks count as
 				   lost; 0: none */
 };
@@ -144,10 +151,11 @@
 	double work; /* expected work, while QUEUED */
 };
 
-/* Measured run times of a route's tasks. */
-struct runtime_stats {
-	uint32_t n; /* runs counted, up to RUNTIME_WINDOW */
-	double log_ratio; /* mean of log2(run time / caller's estimate) */
+/* What is needed to compare workers by speed for the tasks of a step. */
+struct time_fit {
+	const struct runtime_dist *dist; /* of the route; NULL: speeds are not
+					    used */
+	double ratio; /* log2(time left / caller's estimate) */
 };
 
 struct job {
@@ -225,7 +233,11 @@
 	GHashTable *by_request; /* request -> struct job */
 	uint64_t last_job;
 	GQueue parked; /* struct parked */
-	GHashTable *runtimes; /* route name -> struct runtime_stats */
+	GHashTable *runtimes; /* route name -> struct runtime_dist */
+	GHashTable *pool_speeds; /* pool -> struct pool_speeds */
+	bool uneven; /* some pool uses the speeds of its workers */
+	bool speeds_changed;
+	int64_t speeds_at; /* earliest time of the next update */
 	GSequence *queue; /* struct job with queued tasks, by start_by */
 	uint32_t nqueued; /* queued tasks */
 	double queued_work; /* expected work of the queued tasks */
@@ -317,12 +329,25 @@
 int64_t dispatch_goal_ns(struct mlk_dispatcher *d, const struct job *job,
     uint32_t target_ms, uint32_t stretch, int64_t *work_ns);
 void dispatch_runtime_record(struct mlk_dispatcher *d, const struct job *job,
-    uint32_t step, uint32_t run_ms);
+    uint32_t step, const struct agent *a, uint32_t run_ms);
 uint32_t dispatch_runtime_expected_ms(
     struct mlk_dispatcher *d, const struct job *job, uint32_t step);
 uint32_t dispatch_runtime_ms(
     struct mlk_dispatcher *d, const struct job *job, uint32_t step);
 
+uint32_t dispatch_runtime_after_ms(
+    struct mlk_dispatcher *d, const struct job *job, uint32_t step);
+
+/* dispatcher_speeds.c */
+void dispatch_speeds_due(struct mlk_dispatcher *d);
+void dispatch_fit_begin(struct mlk_dispatcher *d, const struct job *job,
+    uint32_t step, struct time_fit *fit);
+uint32_t dispatch_fit_cost(
+    const struct time_fit *fit, const struct agent *a, uint32_t n);
+bool dispatch_fit_suits(
+    const struct time_fit *fit, const struct agent *a, uint32_t n);
+double dispatch_agent_log_speed(const struct agent *a);
+
 /* dispatcher_agents.c */
 void dispatch_attach(
     struct mlk_dispatcher *d, struct link *link, const struct mlk_msg *msg);
--- a/src/dispatch/runner.c
+++ b/src/dispatch/runner.c
@@ -302,4 +302,5 @@
 	out->capacity = r->worker.info.capacity;
 	out->free = runner_free(r);
 	out->fence = r->worker.fence;
+	out->speed = r->speed.reported;
 }
--- a/src/dispatch/runner_health.c
+++ b/src/dispatch/runner_health.c
@@ -98,6 +98,26 @@
 	}
 }
 
+/*
+ * Measures the speed of the worker over a completed run.  Runs on a worker that
+ * is or was just found sick show its fault, not its speed.
+ */
+static void
+measure_speed(struct mlk_runner *r, const struct run *run)
+{
+	uint32_t before = r->speed.logged != 0 ? r->speed.logged : SPEED_UNIT;
+
+	if (r->health.state != HEALTH_OK || run->confirmed_at == 0 ||
+	    !speed_add(&r->speed, (int64_t)run->expected_ms * MS,
+		r->now - run->sent_at))
+		return;
+	r->counters.speed_changes++;
+	runner_log(r, MLK_LOG_NOTICE, NULL,
+	    "measured speed of the worker %u thousandths of the usual one, "
+	    "%u before, over %u runs",
+	    r->speed.reported, before, r->speed.n);
+}
+
 /*
  * Records whether a run completed or failed.
  */
@@ -109,6 +129,8 @@
 
 	if (end != MLK_RUN_DONE && end != MLK_RUN_FAILED)
 		return;
+	if (end == MLK_RUN_DONE)
+		measure_speed(r, run);
 	cause = health_ended(
 	    &r->health, runner_job_key(run), end == MLK_RUN_FAILED, r->now);
 	if (cause != HEALTH_NONE)
--- a/src/dispatch/runner_links.c
+++ b/src/dispatch/runner_links.c
@@ -537,6 +537,7 @@
 	msg->u.worker.seen = e->run_seq;
 	msg->u.worker.info = r->worker.info;
 	msg->u.worker.info.state = r->state;
+	msg->u.worker.info.speed = r->speed.reported;
 	msg->u.worker.load = *load;
 	e->report_now = false;
 	e->reported_load = *load;
--- a/src/dispatch/runner_priv.h
+++ b/src/dispatch/runner_priv.h
@@ -25,6 +25,7 @@
 #include "effects.h"
 #include "health.h"
 #include "skew.h"
+#include "speed.h"
 
 #define MS ((int64_t)MLK_NSEC_PER_MSEC)
 
@@ -286,6 +287,7 @@
 	uint64_t last_offer;
 	struct mlk_resources offered;
 	struct health health;
+	struct speed speed; /* of the worker */
 	enum mlk_worker_state state; /* as last reported to entries */
 	bool takes_work; /* as last reported to entries */
 	uint64_t list_number;
--- a/src/dispatch/runner_runs.c
+++ b/src/dispatch/runner_runs.c
@@ -163,8 +163,8 @@
 		return;
 	run->state = RUN_ACTIVE;
 	run->confirmed_at = r->now;
-	health_run_begin(
-	    &run->health, runner_job_key(run), run->expected_ms, r->now);
+	health_run_begin(&run->health, runner_job_key(run),
+	    speed_run_ms(&r->speed, run->expected_ms), r->now);
 	if (run->stop_wanted)
 		runner_run_stop(r, run, run->stop_end);
 }
--- a/src/dispatch/runner_worker.c
+++ b/src/dispatch/runner_worker.c
@@ -118,6 +118,9 @@
 		w->left_at = 0;
 	if (w->boot < a->info.boot)
 		runner_note_boot(r, a->info.boot);
+	/* Another worker; one that restarts under its id keeps its speed. */
+	if (strcmp(w->info.id, a->info.id) != 0)
+		memset(&r->speed, 0, sizeof(r->speed));
 	if (!w->known)
 		w->known_at = r->now;
 	w->known = true;
--- a/test/dispatch_bench.c
+++ b/test/dispatch_bench.c
@@ -131,6 +131,7 @@
 	msg.u.worker.info.state = state;
 	msg.u.worker.info.boot = 1;
 	msg.u.worker.info.capacity = a->capacity;
+	msg.u.worker.info.speed = a->speed;
 	(void)g_strlcpy(
 	    msg.u.worker.info.id, a->id, sizeof(msg.u.worker.info.id));
 	strcpy(msg.u.worker.info.pool, BENCH_POOL);
@@ -281,7 +282,7 @@
 {
 	struct mlk_msg msg = { .type = MLK_MSG_ENDS };
 	struct mlk_run_result result = {
-		.job = job, .index = index, .end = end
+		.job = job, .index = index, .end = end, .run_ms = b->run_ms
 	};
 
 	msg.u.ends.sent_at = now_ms(b);
--- a/test/dispatch_bench.h
+++ b/test/dispatch_bench.h
@@ -21,6 +21,7 @@
 	struct mlk_resources free; /* reported by the next message */
 	uint64_t seen; /* likewise: seq of the last RUN included in `free` */
 	uint32_t running; /* likewise */
+	uint32_t speed; /* likewise, thousandths */
 };
 
 struct bench_answer {
@@ -39,7 +40,8 @@
 	uint32_t last_link;
 	uint64_t last_request;
 	uint32_t estimate_ms; /* run time given with the submitted jobs */
-	int64_t held; /* likewise: ns since their requests arrived */
+	uint32_t run_ms; /* run time reported with the ends of runs */
+	int64_t held; /* of submitted jobs: ns since their requests arrived */
 	bool exited;
 	uint32_t last_connect; /* last outgoing connection of the entry */
 	uint64_t peers_sent; /* items of all PEERS messages sent */
--- a/test/dispatch_world.c
+++ b/test/dispatch_world.c
@@ -1,4 +1,5 @@
 #include <inttypes.h>
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -573,11 +574,16 @@
 }
 
 static void
-set_speed(struct world *w, struct world_agent *a)
+set_speed(struct world *w, uint32_t i)
 {
-	a->worker.speed = w->now < a->stall_until ? 0.0 :
-	    w->now < a->slow_until                ? 0.2 :
-						    1.0;
+	struct world_agent *a = &w->agents[i];
+
+	a->worker.speed =
+	    w->options.speeds == NULL ? 1.0 : w->options.speeds[i];
+	if (w->now < a->slow_until)
+		a->worker.speed *= 0.2;
+	if (w->now < a->stall_until)
+		a->worker.speed = 0.0;
 	a->worker.fails = w->now < a->fails_until;
 }
 
@@ -596,7 +602,7 @@
 
 	if (!a->worker.up)
 		return;
-	set_speed(w, a);
+	set_speed(w, i);
 	fake_worker_advance(&a->worker, w->now);
 	for (k = 0; k < a->worker.nends; k++) {
 		end = &a->worker.ends[k];
@@ -1785,12 +1791,36 @@
 	return (w->violation[0] == '\0' ? NULL : w->violation);
 }
 
+/*
+ * Returns the largest relative error of the measured speeds, in thousandths.
+ * Only ratios of speeds are defined, so both are related to their means.
+ */
+static uint32_t
+speed_error(const struct world *w)
+{
+	double measured[WORLD_AGENTS_MAX], actual, mean = 0, worst = 0;
+	struct mlk_runner_gauges gauges = { 0 };
+	uint32_t i;
+
+	for (i = 0; i < w->options.agents; i++) {
+		if (w->agents[i].r != NULL)
+			mlk_runner_gauges(w->agents[i].r, &gauges);
+		actual = w->options.speeds == NULL ? 1 : w->options.speeds[i];
+		measured[i] = log2(MAX(gauges.speed, 1) / actual);
+		mean += measured[i] / w->options.agents;
+	}
+	for (i = 0; i < w->options.agents; i++)
+		worst = MAX(worst, fabs(exp2(measured[i] - mean) - 1));
+	return ((uint32_t)(worst * 1000));
+}
+
 void
 world_read_stats(const struct world *w, struct world_stats *out)
 {
 	uint32_t i;
 
 	*out = w->stats;
+	out->speed_error = speed_error(w);
 	for (i = 0; i < w->options.agents; i++) {
 		if (w->agents[i].r == NULL)
 			continue;
--- a/test/dispatch_world.h
+++ b/test/dispatch_world.h
@@ -67,6 +67,7 @@
 	uint32_t agents;
 	uint32_t jobs_per_s;
 	uint32_t cpu; /* capacity of each worker, thousandths of a core */
+	const double *speeds; /* of the workers; NULL: all 1 */
 	uint32_t start_answer_ms; /* longest time until a start is answered */
 	/*
 	 * From burst_at on, jobs_per_s is multiplied by burst_factor for
@@ -110,6 +111,8 @@
 	uint32_t runs; /* started at the workers */
 	uint32_t connections; /* that agents had to open for orders */
 	uint32_t fresh; /* of these for one order each */
+	uint32_t speed_error; /* largest deviation of a measured speed, relative
+				 to the mean of all, in thousandths */
 	uint32_t tasks_refused; /* by the agents that are up at the end */
 };
 
--- a/test/test_runner.c
+++ b/test/test_runner.c
@@ -10,6 +10,7 @@
 #include <string.h>
 
 #include <cmocka.h>
+#include <glib.h>
 
 #include "dispatch_world.h"
 
@@ -21,6 +22,9 @@
 /* Connections that a worker with a fault may cost. */
 #define RESETS_PER_S 25
 #define FRESH_PER_S 1
+#define UNEVEN_SEEDS 12
+#define UNEVEN_IN_GOAL 985 /* thousandths, as the next one */
+#define SPEED_ERROR_MAX 200
 #define REFUSALS_MAX 32 /* one RUN of 8 tasks at each of 4 agents */
 
 static const struct world_options base_options = { .entries = 2,
@@ -267,6 +271,33 @@
 	assert_in_range(sum.fresh, 1, SEEDS * FRESH_PER_S * FAULT_MS / 1000);
 }
 
+/*
+ * Guards against tasks on slow workers that end late there while faster ones
+ * have resources free, and against wrong speeds, which agents and entries
+ * measure each with the figures of the other.
+ */
+static void
+test_uneven_workers(void **state)
+{
+	static const double speeds[] = { 0.6, 1.6, 0.8, 1.2 };
+	struct world_options options = base_options;
+	struct world_stats stats, sum = { 0 };
+
+	(void)state;
+	options.speeds = speeds;
+	for (options.seed = 1; options.seed <= UNEVEN_SEEDS; options.seed++) {
+		run_world(&options, WORLD_FAULTS, 0, &stats);
+		sum.jobs += stats.jobs;
+		sum.in_goal += stats.in_goal;
+		sum.speed_error = MAX(sum.speed_error, stats.speed_error);
+	}
+	print_message("%u of %u jobs in their goal, speeds off by up to %u "
+		      "thousandths\n",
+	    sum.in_goal, sum.jobs, sum.speed_error);
+	assert_true(sum.in_goal * 1000 >= sum.jobs * UNEVEN_IN_GOAL);
+	assert_in_range(sum.speed_error, 0, SPEED_ERROR_MAX);
+}
+
 #define RESTART_GAP_MS 400
 #define RESTART_MS 700
 #define START_ANSWER_MS 20
@@ -374,6 +405,7 @@
 		cmocka_unit_test(test_connections_in_drops),
 		cmocka_unit_test(test_callers_leave),
 		cmocka_unit_test(test_refusals_do_not_loop),
+		cmocka_unit_test(test_uneven_workers),
 		cmocka_unit_test(test_restarts_under_load),
 		cmocka_unit_test(test_retries_after_burst),
 	};
