health: a straggler is no sign of a slow worker

With a heavy tail, and few jobs at work, the runs that are left at a worker are often its longest ones: if three tasks in a hundred take seven times as long, 18 % of the tasks at work at any time are such. The median of two or three jobs was then below the limit, and a healthy worker was found sick.

A run that is slow while another run on the worker is on time, or is completed on time, no longer counts for the worker's speed. At most four runs at once are excused. A worker whose runs all become slow is found as before.

--- a/src/dispatch/health.c
+++ b/src/dispatch/health.c
@@ -29,7 +29,13 @@
 #define SLOW_NS (50 * MS) /* minimum duration of a low median */
 #define SLOW_RUNS 3U
 #define SLOW_JOBS 2U
-#define RECOVERED_RATE 600U /* ends probation */
+#define ON_TIME_RATE 600U /* of a run on a healthy worker; ends probation */
+/*
+ * At most this many slow runs at once are taken for stragglers.  If three runs
+ * in a hundred are seven times as long, 18 % of those at work are stragglers:
+ * of ten, more than four in one of 30 cases.
+ */
+#define STRAGGLERS_MAX 4U
 #define FAILED_JOBS 3U /* in a row; one job may fail by its own fault */
 /* Duration of the SICK and of the degraded state, doubled each time. */
 #define BACKOFF_MIN_NS (1000 * MS)
@@ -55,6 +61,16 @@
 	run->sampled_at = now;
 }
 
+/*
+ * Returns the rate of a run whose percentage has risen in `span` ns.
+ */
+static uint32_t
+rate_of(const struct health_run *run, uint32_t risen, int64_t span)
+{
+	return ((uint32_t)((uint64_t)risen * run->expected_ms *
+	    (HEALTH_RATE_UNIT / 100) / (uint64_t)(span / MS)));
+}
+
 void
 health_run_progress(struct health_run *run, uint32_t percent, int64_t now)
 {
@@ -68,9 +84,13 @@
 	if (span < SAMPLE_NS || run->expected_ms == 0)
 		return;
 	risen = run->percent - run->sampled_percent;
-	run->rate = (uint32_t)((uint64_t)risen * run->expected_ms *
-	    (HEALTH_RATE_UNIT / 100) / (uint64_t)(span / MS));
+	run->rate = rate_of(run, risen, span);
 	run->rated_at = now;
+	run->rated_from = run->sampled_at;
+	if (run->rate >= SLOW_RATE)
+		run->slow_from = 0;
+	else if (run->slow_from == 0)
+		run->slow_from = run->sampled_at;
 	run->sampled_percent = run->percent;
 	run->sampled_at = now;
 }
@@ -95,6 +115,28 @@
 	return (left > UINT32_MAX ? UINT32_MAX : (uint32_t)left);
 }
 
+/*
+ * Notes that a run was on time since `from`.
+ */
+static void
+note_on_time(struct health *health, int64_t from)
+{
+	if (from > health->on_time_from)
+		health->on_time_from = from;
+}
+
+void
+health_run_completed(
+    struct health *health, const struct health_run *run, int64_t now)
+{
+	int64_t span = now - run->sampled_at;
+
+	if (run->sampled_at != 0 && run->expected_ms != 0 &&
+	    span >= SAMPLE_NS &&
+	    rate_of(run, 100 - run->sampled_percent, span) >= ON_TIME_RATE)
+		note_on_time(health, run->sampled_at);
+}
+
 static enum health_cause
 mark_sick(struct health *health, enum health_cause cause, int64_t now)
 {
@@ -158,26 +200,66 @@
 	return (&jobs[(*n)++]);
 }
 
+static bool
+has_rate(const struct health_run *run, int64_t now)
+{
+	return (run->rated_at != 0 && now - run->rated_at <= RATE_FRESH_NS);
+}
+
+/*
+ * Tells whether a run is a straggler: another run was on time since it has been
+ * slow.
+ */
+static bool
+is_straggler(const struct health *health, const struct health_run *run)
+{
+	return (run->slow_from != 0 && health->on_time_from >= run->slow_from);
+}
+
+/*
+ * Notes which runs are on time, and returns whether slow ones may be taken for
+ * stragglers.
+ */
+static bool
+few_stragglers(struct health *health, const struct health_run *const *runs,
+    uint32_t n, int64_t now)
+{
+	uint32_t i, stragglers = 0;
+
+	for (i = 0; i < n; i++) {
+		if (has_rate(runs[i], now) && runs[i]->rate >= ON_TIME_RATE)
+			note_on_time(health, runs[i]->rated_from);
+	}
+	for (i = 0; i < n; i++) {
+		if (has_rate(runs[i], now))
+			stragglers += is_straggler(health, runs[i]);
+	}
+	return (stragglers <= STRAGGLERS_MAX);
+}
+
 /*
  * Each job counts once, whatever its number of tasks: all tasks of a job that
  * is longer than expected look slow, and most runs here may belong to one job.
+ * Stragglers do not count.
  */
 static void
-take_sample(struct sample *s, const struct health_run *const *runs, uint32_t n,
-    int64_t now)
+take_sample(struct health *health, struct sample *s,
+    const struct health_run *const *runs, uint32_t n, int64_t now)
 {
 	struct job_sample jobs[RUNS_MAX] = { 0 }, *job;
+	bool excuse = few_stragglers(health, runs, n, now);
 	uint32_t i;
 
 	memset(s, 0, sizeof(*s));
 	for (i = 0; i < n && s->n < RUNS_MAX; i++) {
 		if (health_run_stalled(runs[i], now))
 			s->stalled++;
-		if (runs[i]->rated_at == 0 ||
-		    now - runs[i]->rated_at > RATE_FRESH_NS)
+		if (!has_rate(runs[i], now))
 			continue;
 		if (runs[i]->rate > 0)
 			s->moving++;
+		if (excuse && is_straggler(health, runs[i]))
+			continue;
 		s->n++;
 		job = job_sample_get(jobs, &s->njobs, runs[i]->job);
 		job->rates += runs[i]->rate;
@@ -218,7 +300,7 @@
 
 	if (health->state == HEALTH_SICK)
 		return (HEALTH_NONE);
-	take_sample(&s, runs, n, now);
+	take_sample(health, &s, runs, n, now);
 	if (s.stalled > 0 && s.moving * 2 <= s.stalled)
 		return (mark_sick(health, HEALTH_STALLED, now));
 	if (is_slow(health, &s, now))
@@ -226,7 +308,7 @@
 	/* Progress does not show whether the runs succeed. */
 	if (health->state == HEALTH_PROBATION &&
 	    health->cause != HEALTH_FAILING && s.n > 0 &&
-	    s.rates[s.njobs / 2] >= RECOVERED_RATE)
+	    s.rates[s.njobs / 2] >= ON_TIME_RATE)
 		recover(health);
 	return (HEALTH_NONE);
 }
--- a/src/dispatch/health.h
+++ b/src/dispatch/health.h
@@ -10,6 +10,9 @@
  * A worker that leaves many starts unanswered is degraded, not unhealthy: what
  * it starts does run.  It gets only the work that does not fit elsewhere.
  *
+ * A run that is slow while others on the worker are on time is a long one (a
+ * straggler) and says nothing about the worker.
+ *
  * Progress is compared with the run time that the entries expect.  They learn
  * it from all workers, so a caller's wrong estimate makes no worker look
  * unhealthy.
@@ -41,6 +44,8 @@
 	enum health_cause cause; /* of the last change to SICK */
 	int64_t until; /* end of the SICK state */
 	int64_t backoff; /* duration of the next SICK state; 0: the shortest */
+	int64_t on_time_from; /* start of the last period in which some run was
+				 on time */
 	int64_t slow_since; /* time since which rates have been low; 0: they are
 			       not */
 	uint64_t failed_jobs[3]; /* distinct jobs that failed since the last
@@ -63,6 +68,8 @@
 	int64_t sampled_at; /* 0: not sampled */
 	uint32_t rate;
 	int64_t rated_at; /* 0: no rate yet */
+	int64_t rated_from; /* start of the period of `rate` */
+	int64_t slow_from; /* time since which it has been slow; 0: it is not */
 };
 
 void health_run_begin(
@@ -79,6 +86,9 @@
  */
 enum health_cause health_judge(struct health *health,
     const struct health_run *const *runs, uint32_t n, int64_t now);
+/* Records that a run was completed; its last progress shows the worker's. */
+void health_run_completed(
+    struct health *health, const struct health_run *run, int64_t now);
 /* Records the end of a run; returns the same as health_judge(). */
 enum health_cause health_ended(
     struct health *health, uint64_t job, bool failed, int64_t now);
--- a/src/dispatch/runner_health.c
+++ b/src/dispatch/runner_health.c
@@ -129,8 +129,10 @@
 
 	if (end != MLK_RUN_DONE && end != MLK_RUN_FAILED)
 		return;
-	if (end == MLK_RUN_DONE)
+	if (end == MLK_RUN_DONE) {
 		measure_speed(r, run);
+		health_run_completed(&r->health, &run->health, r->now);
+	}
 	cause = health_ended(
 	    &r->health, runner_job_key(run), end == MLK_RUN_FAILED, r->now);
 	if (cause != HEALTH_NONE)
--- a/test/dispatch_world.c
+++ b/test/dispatch_world.c
@@ -1106,6 +1106,8 @@
 {
 	uint32_t ms = mean / 2 + below(w, mean);
 
+	if (w->options.stragglers)
+		return (ms);
 	/* One in 20 takes seven times as long. */
 	return (below(w, 20) == 0 ? ms * 7 : ms);
 }
@@ -1139,6 +1141,8 @@
 	mean = random_work_ms(w, kinds[k].work_ms);
 	for (i = 0; i < job->count; i++) {
 		job->work_ms[i] = mean - mean / 8 + below(w, 1 + mean / 4);
+		if (w->options.stragglers && below(w, 100) < 3)
+			job->work_ms[i] *= 7;
 		if (job->goal_ms < job->work_ms[i])
 			job->goal_ms = job->work_ms[i];
 	}
@@ -1824,6 +1828,8 @@
 	for (i = 0; i < w->options.agents; i++) {
 		if (w->agents[i].r == NULL)
 			continue;
+		out->sick +=
+		    (uint32_t)mlk_runner_counters(w->agents[i].r)->sick;
 		out->tasks_refused +=
 		    (uint32_t)mlk_runner_counters(w->agents[i].r)->refused;
 	}
--- a/test/dispatch_world.h
+++ b/test/dispatch_world.h
@@ -76,6 +76,8 @@
 	int64_t burst_at;
 	uint32_t burst_ms;
 	uint32_t burst_factor;
+	bool stragglers; /* three tasks in a hundred, not all tasks of a job in
+			    twenty, take seven times as long */
 	bool retry_refused; /* refused callers send again after Retry-After */
 };
 
@@ -111,6 +113,7 @@
 	uint32_t runs; /* started at the workers */
 	uint32_t connections; /* that agents had to open for orders */
 	uint32_t fresh; /* of these for one order each */
+	uint32_t sick; /* times that workers were found sick */
 	uint32_t speed_error; /* largest deviation of a measured speed, relative
 				 to the mean of all, in thousandths */
 	uint32_t tasks_refused; /* by the agents that are up at the end */
--- a/test/test_runner.c
+++ b/test/test_runner.c
@@ -25,6 +25,7 @@
 #define UNEVEN_SEEDS 12
 #define UNEVEN_IN_GOAL 985 /* thousandths, as the next one */
 #define SPEED_ERROR_MAX 200
+#define STRAGGLERS_IN_GOAL 995
 #define REFUSALS_MAX 32 /* one RUN of 8 tasks at each of 4 agents */
 
 static const struct world_options base_options = { .entries = 2,
@@ -298,6 +299,30 @@
 	assert_in_range(sum.speed_error, 0, SPEED_ERROR_MAX);
 }
 
+/*
+ * Guards against healthy workers that are found sick because of single long
+ * tasks, and get no work.
+ */
+static void
+test_stragglers(void **state)
+{
+	struct world_options options = base_options;
+	struct world_stats stats, sum = { 0 };
+
+	(void)state;
+	options.stragglers = true;
+	for (options.seed = 1; options.seed <= SEEDS; options.seed++) {
+		run_world(&options, WORLD_FAULTS, 0, &stats);
+		sum.jobs += stats.jobs;
+		sum.in_goal += stats.in_goal;
+		sum.sick += stats.sick;
+	}
+	print_message("%u of %u jobs in their goal, workers sick %u times\n",
+	    sum.in_goal, sum.jobs, sum.sick);
+	assert_true(sum.in_goal * 1000 >= sum.jobs * STRAGGLERS_IN_GOAL);
+	assert_in_range(sum.sick, 0, SEEDS / 2);
+}
+
 #define RESTART_GAP_MS 400
 #define RESTART_MS 700
 #define START_ANSWER_MS 20
@@ -406,6 +431,7 @@
 		cmocka_unit_test(test_callers_leave),
 		cmocka_unit_test(test_refusals_do_not_loop),
 		cmocka_unit_test(test_uneven_workers),
+		cmocka_unit_test(test_stragglers),
 		cmocka_unit_test(test_restarts_under_load),
 		cmocka_unit_test(test_retries_after_burst),
 	};
