--- a/include/monsoonlock/core.h
+++ b/include/monsoonlock/core.h
@@ -174,6 +174,7 @@
 	MLK_WORKER_UNAVAILABLE, /* unknown, unreachable, or may still execute
 				   runs of another agent */
 	MLK_WORKER_DEGRADED, /* many requests to start a run time out */
+	MLK_WORKER_COLD, /* has started recently; its runs may be slow */
 };
 
 struct mlk_worker_info {
--- a/include/monsoonlock/dispatch.h
+++ b/include/monsoonlock/dispatch.h
@@ -163,6 +163,7 @@
 	uint64_t seq; /* increases within a boot */
 	int64_t clock_ms; /* of the worker; 0: not reported */
 	uint32_t remaining_ms; /* while it drains; 0: not reported */
+	uint32_t cold_ms; /* time for which its runs may still be slow */
 	uint64_t request; /* returned with the ACK effect */
 };
 
--- a/src/dispatch/dispatcher_agents.c
+++ b/src/dispatch/dispatcher_agents.c
@@ -36,13 +36,14 @@
 }
 
 /*
- * Tells whether the worker is ready or degraded; a degraded one gets only what
- * does not fit elsewhere.
+ * Tells whether the worker is ready, cold or degraded; cold and degraded ones
+ * get only what does not fit elsewhere.
  */
 bool
 dispatch_agent_takes_work(const struct agent *a)
 {
 	return (a->info.state == MLK_WORKER_READY ||
+	    a->info.state == MLK_WORKER_COLD ||
 	    a->info.state == MLK_WORKER_DEGRADED);
 }
 
--- a/src/dispatch/dispatcher_place.c
+++ b/src/dispatch/dispatcher_place.c
@@ -20,7 +20,8 @@
 #define REMOTE_DC_COST 80
 /* Multiplied by the share of the tasks that do not fit on the worker. */
 #define SPLIT_COST 300
-#define DEGRADED_COST 1500 /* used after every ready worker */
+#define COLD_COST 1500 /* used after every ready worker */
+#define DEGRADED_COST 1500 /* likewise */
 #define SICK_COST 3000 /* used after every other worker */
 #define SICK_PERCENT_MAX 34 /* of the workers may be left out as unhealthy */
 #define SCALE 1000
@@ -113,6 +114,8 @@
 	c += SPLIT_COST * (n - fit) / n;
 	if (!a->same_dc)
 		c += REMOTE_DC_COST;
+	if (a->info.state == MLK_WORKER_COLD)
+		c += COLD_COST;
 	if (a->info.state == MLK_WORKER_DEGRADED)
 		c += DEGRADED_COST;
 	if (a->info.state == MLK_WORKER_SICK)
--- a/src/dispatch/runner.c
+++ b/src/dispatch/runner.c
@@ -153,8 +153,9 @@
 		return (MLK_WORKER_DRAINING);
 	if (r->health.state == HEALTH_SICK)
 		return (MLK_WORKER_SICK);
-	return (r->health.degraded_until != 0 ? MLK_WORKER_DEGRADED :
-						MLK_WORKER_READY);
+	if (r->health.degraded_until != 0)
+		return (MLK_WORKER_DEGRADED);
+	return (r->now < w->cold_until ? MLK_WORKER_COLD : MLK_WORKER_READY);
 }
 
 /*
@@ -167,7 +168,7 @@
 {
 	return (
 	    (r->state == MLK_WORKER_READY || r->state == MLK_WORKER_DEGRADED ||
-		r->state == MLK_WORKER_SICK) &&
+		r->state == MLK_WORKER_COLD || r->state == MLK_WORKER_SICK) &&
 	    runner_lease_end(r) - r->now >= LEASE_MIN_NS);
 }
 
@@ -297,7 +298,9 @@
 		if (e->attached)
 			out->entries++;
 	}
-	out->ready = r->state == MLK_WORKER_READY && out->entries > 0;
+	out->ready =
+	    (r->state == MLK_WORKER_READY || r->state == MLK_WORKER_COLD) &&
+	    out->entries > 0;
 	out->running = r->nactive;
 	out->capacity = r->worker.info.capacity;
 	out->free = runner_free(r);
--- a/src/dispatch/runner_health.c
+++ b/src/dispatch/runner_health.c
@@ -100,14 +100,15 @@
 
 /*
  * Measures the speed of the worker over a completed run.  Runs on a worker that
- * is or was just found sick show its fault, not its speed.
+ * is sick or cold do not show it.
  */
 static void
 measure_speed(struct mlk_runner *r, const struct run *run)
 {
 	uint32_t before = r->speed.logged != 0 ? r->speed.logged : SPEED_UNIT;
 
-	if (r->health.state != HEALTH_OK || run->confirmed_at == 0 ||
+	if (r->health.state != HEALTH_OK || r->now < r->worker.cold_until ||
+	    run->confirmed_at == 0 ||
 	    !speed_add(&r->speed, (int64_t)run->expected_ms * MS,
 		r->now - run->sent_at))
 		return;
--- a/src/dispatch/runner_priv.h
+++ b/src/dispatch/runner_priv.h
@@ -227,6 +227,7 @@
 	struct candidate candidate;
 	struct mlk_worker_info info; /* as last announced */
 	uint64_t seq;
+	int64_t cold_until; /* its runs may be slow before this time */
 	int64_t left_at; /* time of its notice that it exits; 0: none */
 	uint64_t notice; /* request of that notice, if unacknowledged */
 	bool notice_pending;
--- a/src/dispatch/runner_worker.c
+++ b/src/dispatch/runner_worker.c
@@ -126,6 +126,7 @@
 	w->known = true;
 	w->info = a->info;
 	w->seq = a->seq;
+	w->cold_until = r->now + (int64_t)a->cold_ms * MS;
 	runner_note_clock(r, a->clock_ms);
 	if (draining) {
 		runner_log(r, MLK_LOG_NOTICE, NULL,
--- a/src/wire/filters.c
+++ b/src/wire/filters.c
@@ -405,7 +405,7 @@
 	state = (u_int)w->state;
 	if (!TEXT(xdrs, w->id) || !xdr_uint64_t(xdrs, &w->boot) ||
 	    !TEXT(xdrs, w->pool) || !TEXT(xdrs, w->labels) ||
-	    !number(xdrs, &state, MLK_WORKER_READY, MLK_WORKER_DEGRADED))
+	    !number(xdrs, &state, MLK_WORKER_READY, MLK_WORKER_COLD))
 		return (FALSE);
 	w->state = (enum mlk_worker_state)state;
 	return (resources(xdrs, &w->capacity) && xdr_u_int(xdrs, &w->speed));
--- a/test/dispatch_world.c
+++ b/test/dispatch_world.c
@@ -137,6 +137,7 @@
 	uint64_t notice; /* request of its notice to leave */
 	uint32_t down_ms; /* after it has left */
 	GArray *waiting_lists; /* struct event; list orders that wait */
+	int64_t cold_until;
 	int64_t stall_until;
 	int64_t slow_until;
 	int64_t fails_until;
@@ -580,6 +581,8 @@
 
 	a->worker.speed =
 	    w->options.speeds == NULL ? 1.0 : w->options.speeds[i];
+	if (w->now < a->cold_until)
+		a->worker.speed /= 3;
 	if (w->now < a->slow_until)
 		a->worker.speed *= 0.2;
 	if (w->now < a->stall_until)
@@ -1307,6 +1310,8 @@
 	fake_worker_announce(&a->worker, ++a->announce_seq, &announcement);
 	if (a->draining)
 		announcement.info.state = MLK_WORKER_DRAINING;
+	if (w->now < a->cold_until)
+		announcement.cold_ms = (uint32_t)(a->cold_until - w->now);
 	rev.u.announced = &announcement;
 	apply_agent(w, i, &rev);
 }
@@ -1447,6 +1452,9 @@
 		start_worker(w, ev->index, NULL);
 		break;
 	}
+	if (ev->fault == WORLD_WORKER_RESTART ||
+	    ev->fault == WORLD_WORKER_CRASH)
+		w->agents[ev->index].cold_until = w->now + w->options.cold_ms;
 }
 
 /* ---- the loop ------------------------------------------------------------ */
@@ -1810,7 +1818,9 @@
 		if (w->agents[i].r != NULL)
 			mlk_runner_gauges(w->agents[i].r, &gauges);
 		actual = w->options.speeds == NULL ? 1 : w->options.speeds[i];
-		measured[i] = log2(MAX(gauges.speed, 1) / actual);
+		/* An unknown speed counts as the usual one. */
+		measured[i] =
+		    log2((gauges.speed != 0 ? gauges.speed : 1000) / actual);
 		mean += measured[i] / w->options.agents;
 	}
 	for (i = 0; i < w->options.agents; i++)
--- a/test/dispatch_world.h
+++ b/test/dispatch_world.h
@@ -76,6 +76,8 @@
 	int64_t burst_at;
 	uint32_t burst_ms;
 	uint32_t burst_factor;
+	uint32_t cold_ms; /* for which a worker that has restarted is cold: it
+			     has a third of its speed */
 	bool stragglers; /* three tasks in a hundred, not all tasks of a job in
 			    twenty, take seven times as long */
 	bool retry_refused; /* refused callers send again after Retry-After */
--- a/test/test_runner.c
+++ b/test/test_runner.c
@@ -26,6 +26,9 @@
 #define UNEVEN_IN_GOAL 985 /* thousandths, as the next one */
 #define SPEED_ERROR_MAX 200
 #define STRAGGLERS_IN_GOAL 995
+#define COLD_DOWN_MS 300
+#define COLD_JOBS_PER_S 8 /* the other workers can serve them */
+#define COLD_IN_GOAL 985
 #define REFUSALS_MAX 32 /* one RUN of 8 tasks at each of 4 agents */
 
 static const struct world_options base_options = { .entries = 2,
@@ -323,6 +326,28 @@
 	assert_in_range(sum.sick, 0, SEEDS / 2);
 }
 
+/*
+ * Guards against work for a worker that is cold after a restart, while the
+ * others have resources free.
+ */
+static void
+test_cold_worker(void **state)
+{
+	struct world_options options = base_options;
+	struct world_stats stats, sum = { 0 };
+
+	(void)state;
+	options.cold_ms = FAULT_MS;
+	options.jobs_per_s = COLD_JOBS_PER_S;
+	for (options.seed = 1; options.seed <= SEEDS; options.seed++) {
+		run_world(&options, WORLD_WORKER_RESTART, COLD_DOWN_MS, &stats);
+		sum.jobs += stats.jobs;
+		sum.in_goal += stats.in_goal;
+	}
+	print_message("%u of %u jobs in their goal\n", sum.in_goal, sum.jobs);
+	assert_true(sum.in_goal * 1000 >= sum.jobs * COLD_IN_GOAL);
+}
+
 #define RESTART_GAP_MS 400
 #define RESTART_MS 700
 #define START_ANSWER_MS 20
@@ -432,6 +457,7 @@
 		cmocka_unit_test(test_refusals_do_not_loop),
 		cmocka_unit_test(test_uneven_workers),
 		cmocka_unit_test(test_stragglers),
+		cmocka_unit_test(test_cold_worker),
 		cmocka_unit_test(test_restarts_under_load),
 		cmocka_unit_test(test_retries_after_burst),
 	};
--- a/test/test_site.c
+++ b/test/test_site.c
@@ -140,7 +140,7 @@
 
 #define ANNOUNCEMENT                                                        \
 	"{\"service\":\"pool\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\"," \
-	"\"version\":\"v1\",\"slots\":8,\"cold_remaining_ms\":0,"           \
+	"\"version\":\"v1\",\"slots\":8,\"cold_remaining_ms\":1200,"        \
 	"\"state\":\"%s\",\"capacity\":{\"cpu\":64000,\"mem_mb\":1024},"    \
 	"\"labels\":[\"a\",\"r1\"],\"clock_ms\":482113,\"seq\":%s,"         \
 	"\"born\":%s,\"remaining_ms\":700}"
@@ -216,6 +216,7 @@
 	assert_int_equal(a.info.capacity.cpu, 64000);
 	assert_int_equal(a.seq, 4);
 	assert_int_equal(a.clock_ms, 482113);
+	assert_int_equal(a.cold_ms, 1200);
 	assert_true(parse_announcement(&a, "draining", "5", "1"));
 	assert_int_equal(a.info.state, MLK_WORKER_DRAINING);
 	assert_int_equal(a.remaining_ms, 700);
--- a/test/test_uneven.c
+++ b/test/test_uneven.c
@@ -70,6 +70,17 @@
 							NULL);
 }
 
+/*
+ * Reports the free part of the capacity of a ready worker.
+ */
+static void
+report_one(struct uneven *u, struct bench_agent *a, uint32_t cpu)
+{
+	a->free.cpu = cpu;
+	a->seen = u->jobs;
+	bench_report_worker(&u->b, a, MLK_WORKER_READY);
+}
+
 /*
  * Reports the speeds of the workers, and the free part of their capacity.
  */
@@ -201,6 +212,22 @@
 	(void)teardown(&second);
 }
 
+/*
+ * Guards against a task for a cold worker while a warm one has resources free,
+ * and against one that waits while only the cold worker has.
+ */
+static void
+test_cold_worker_is_last(void **state)
+{
+	struct uneven *u = *state;
+
+	bench_report_worker(&u->b, &u->slow, MLK_WORKER_COLD);
+	report_one(u, &u->fast, TASK_CPU);
+	assert_ptr_equal(submit(u, QUICK_MS), &u->fast);
+	report_one(u, &u->fast, 0);
+	assert_ptr_equal(submit(u, QUICK_MS), &u->slow);
+}
+
 int
 main(void)
 {
@@ -210,6 +237,7 @@
 		TEST(test_offer_goes_to_what_fits),
 		TEST(test_run_times_at_speed_1),
 		TEST(test_equal_speeds_change_nothing),
+		TEST(test_cold_worker_is_last),
 	};
 #undef TEST
 
