--- a/include/monsoonlock/dispatch.h
+++ b/include/monsoonlock/dispatch.h
@@ -183,6 +183,7 @@
 	uint64_t seq; /* increases within a boot */
 	int64_t clock_ms; /* of the worker; 0: not reported */
 	uint32_t remaining_ms; /* while it drains; 0: not reported */
+	uint32_t cold_ms; /* time for which its runs may still be slow */
 	uint64_t request; /* returned with the ACK effect */
 };
 
@@ -302,6 +303,7 @@
 	X(starts_void, "Unanswered starts that never took effect")   \
 	X(stops, "Stops sent to the worker")                         \
 	X(lists, "Listing orders sent to the worker")                \
+	X(lists_fresh, "Of them on a connection of their own")       \
 	X(fences, "Times that the fence was raised")                 \
 	X(done, "Runs that ended done")                              \
 	X(failed, "Runs that ended failed")                          \
@@ -310,6 +312,7 @@
 	X(stalled, "Runs moved away from a sick worker")             \
 	X(sick, "Times that the worker was found sick")              \
 	X(degraded, "Times that it was found degraded")              \
+	X(speed_changes, "Changes of its speed by over a fifth")     \
 	X(busy, "Tasks answered not run for lack of room")           \
 	X(offers, "Offers of room sent to entries")                  \
 	X(offers_lapsed, "Offers that were not answered")            \
@@ -338,6 +341,7 @@
 	uint64_t fence;
 	bool evacuated; /* the data centre of this agent */
 	uint64_t evacuations_version;
+	uint32_t speed; /* of the worker, in thousandths; 0: unknown */
 };
 
 struct mlk_runner;
@@ -504,6 +508,7 @@
 	X(tasks_busy, "Tasks that came back for lack of room")             \
 	X(looks, "Jobs and workers looked at for a place")                 \
 	X(wants, "Messages that asked for room")                           \
+	X(unsuited, "Times that a job was not given to a slow worker")     \
 	X(offers_taken, "Offers of room that were used")                   \
 	X(offers_passed, "Offers of room that were not")                   \
 	X(tasks_refused, "Tasks that came back not run for another cause") \
--- a/src/dispatch/dispatcher_agents.c
+++ b/src/dispatch/dispatcher_agents.c
@@ -36,13 +36,14 @@
 }
 
 /*
- * Tells whether the worker is ready or degraded; a degraded one gets only what
- * does not fit elsewhere.
+ * Tells whether the worker is ready, cold or degraded; cold and degraded ones
+ * get only what does not fit elsewhere.
  */
 bool
 dispatch_agent_takes_work(const struct agent *a)
 {
 	return (a->info.state == MLK_WORKER_READY ||
+	    a->info.state == MLK_WORKER_COLD ||
 	    a->info.state == MLK_WORKER_DEGRADED);
 }
 
@@ -176,6 +177,8 @@
 	 */
 	if (!a->has_info)
 		ping(d, a);
+	if (info->speed != a->info.speed || (!a->has_info && info->speed != 0))
+		d->speeds_changed = true;
 	a->has_info = true;
 	a->info = *info;
 	apply_load(d, a, msg->u.worker.seen, &msg->u.worker.load);
@@ -230,6 +233,7 @@
 
 	a->link = 0;
 	a->has_info = false;
+	d->speeds_changed = d->speeds_changed || a->info.speed != 0;
 	a->want_tasks = 0;
 	a->detached_until = d->now + DETACHED_NS;
 	(void)g_array_set_size(a->unacked, 0);
--- a/src/dispatch/runner_health.c
+++ b/src/dispatch/runner_health.c
@@ -98,6 +98,27 @@
 	}
 }
 
+/*
+ * Measures the speed of the worker over a completed run.  Runs on a worker that
+ * is sick or cold do not show it.
+ */
+static void
+measure_speed(struct mlk_runner *r, const struct run *run)
+{
+	uint32_t before = r->speed.logged != 0 ? r->speed.logged : SPEED_UNIT;
+
+	if (r->health.state != HEALTH_OK || r->now < r->worker.cold_until ||
+	    run->confirmed_at == 0 ||
+	    !speed_add(&r->speed, (int64_t)run->expected_ms * MS,
+		r->now - run->sent_at))
+		return;
+	r->counters.speed_changes++;
+	runner_log(r, MLK_LOG_NOTICE, NULL,
+	    "measured speed of the worker %u thousandths of the usual one, "
+	    "%u before, over %u runs",
+	    r->speed.reported, before, r->speed.n);
+}
+
 /*
  * Records whether a run completed or failed.
  */
@@ -109,6 +130,10 @@
 
 	if (end != MLK_RUN_DONE && end != MLK_RUN_FAILED)
 		return;
+	if (end == MLK_RUN_DONE) {
+		measure_speed(r, run);
+		health_run_completed(&r->health, &run->health, r->now);
+	}
 	cause = health_ended(
 	    &r->health, runner_job_key(run), end == MLK_RUN_FAILED, r->now);
 	if (cause != HEALTH_NONE)
--- a/test/dispatch_world.c
+++ b/test/dispatch_world.c
@@ -1,4 +1,5 @@
 #include <inttypes.h>
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -28,6 +29,7 @@
 #define LATE_MIN_MS 60 /* delay of a late order */
 #define ORDER_DROP_PERCENT 40
 #define CONN_REFUSED_PERCENT 40
+#define CONN_RESET_PERCENT 80
 #define REFUSAL_RETRIES_MAX 4U
 #define LATE_MAX_MS 6000
 
@@ -135,6 +137,7 @@
 	uint64_t notice; /* request of its notice to leave */
 	uint32_t down_ms; /* after it has left */
 	GArray *waiting_lists; /* struct event; list orders that wait */
+	int64_t cold_until;
 	int64_t stall_until;
 	int64_t slow_until;
 	int64_t fails_until;
@@ -142,6 +145,7 @@
 	int64_t answers_lost_until;
 	int64_t drop_until;
 	int64_t refuse_until;
+	int64_t reset_until;
 	uint32_t refuse_percent; /* share of the connections that are refused */
 	uint32_t loss_percent; /* share of the orders that are late or lose
 				  their answer */
@@ -571,11 +575,18 @@
 }
 
 static void
-set_speed(struct world *w, struct world_agent *a)
+set_speed(struct world *w, uint32_t i)
 {
-	a->worker.speed = w->now < a->stall_until ? 0.0 :
-	    w->now < a->slow_until                ? 0.2 :
-						    1.0;
+	struct world_agent *a = &w->agents[i];
+
+	a->worker.speed =
+	    w->options.speeds == NULL ? 1.0 : w->options.speeds[i];
+	if (w->now < a->cold_until)
+		a->worker.speed /= 3;
+	if (w->now < a->slow_until)
+		a->worker.speed *= 0.2;
+	if (w->now < a->stall_until)
+		a->worker.speed = 0.0;
 	a->worker.fails = w->now < a->fails_until;
 }
 
@@ -594,7 +605,7 @@
 
 	if (!a->worker.up)
 		return;
-	set_speed(w, a);
+	set_speed(w, i);
 	fake_worker_advance(&a->worker, w->now);
 	for (k = 0; k < a->worker.nends; k++) {
 		end = &a->worker.ends[k];
@@ -747,6 +758,9 @@
 	bool answered = true;
 	struct event *ev;
 
+	/* A fresh connection serves one order. */
+	w->stats.connections += order->fresh;
+	w->stats.fresh += order->fresh;
 	/* The agent ignores this if the result of the order came before it. */
 	none.u.order.order = order->order;
 	none.u.order.result = MLK_ORDER_NO_ANSWER;
@@ -760,9 +774,18 @@
 	}
 	if (w->now < a->drop_until && below(w, 100) < ORDER_DROP_PERCENT) {
 		mlk_blob_clear(&order->spec);
+		w->stats.connections += !order->fresh;
 		return;
 	}
-	if (w->now < a->silent_until) {
+	if (w->now < a->reset_until && below(w, 100) < CONN_RESET_PERCENT) {
+		push_order_result(w, i, a->generation, w->now + 1, 0, &none);
+		answered = false;
+		if (below(w, 2) == 0) {
+			mlk_blob_clear(&order->spec);
+			w->stats.connections += !order->fresh;
+			return;
+		}
+	} else if (w->now < a->silent_until) {
 		answered = false;
 		at = below(w, 2) == 0 ? at : a->silent_until;
 	} else if (w->now < a->late_until && below(w, 100) < a->loss_percent) {
@@ -772,6 +795,8 @@
 	    below(w, 100) < a->loss_percent) {
 		answered = false;
 	}
+	/* An order without an answer ends the connection that it used. */
+	w->stats.connections += !answered && !order->fresh;
 	ev = push(w, at, EV_ORDER, i);
 	ev->generation = a->generation;
 	ev->order = *order;
@@ -1084,6 +1109,8 @@
 {
 	uint32_t ms = mean / 2 + below(w, mean);
 
+	if (w->options.stragglers)
+		return (ms);
 	/* One in 20 takes seven times as long. */
 	return (below(w, 20) == 0 ? ms * 7 : ms);
 }
@@ -1117,6 +1144,8 @@
 	mean = random_work_ms(w, kinds[k].work_ms);
 	for (i = 0; i < job->count; i++) {
 		job->work_ms[i] = mean - mean / 8 + below(w, 1 + mean / 4);
+		if (w->options.stragglers && below(w, 100) < 3)
+			job->work_ms[i] *= 7;
 		if (job->goal_ms < job->work_ms[i])
 			job->goal_ms = job->work_ms[i];
 	}
@@ -1281,6 +1310,8 @@
 	fake_worker_announce(&a->worker, ++a->announce_seq, &announcement);
 	if (a->draining)
 		announcement.info.state = MLK_WORKER_DRAINING;
+	if (w->now < a->cold_until)
+		announcement.cold_ms = (uint32_t)(a->cold_until - w->now);
 	rev.u.announced = &announcement;
 	apply_agent(w, i, &rev);
 }
@@ -1386,6 +1417,9 @@
 		    below(w, 2) == 0 ? CONN_REFUSED_PERCENT : 100;
 		extend(&w->agents[b].refuse_until, w->now, ev->ms);
 		break;
+	case WORLD_CONNS_RESET:
+		extend(&w->agents[b].reset_until, w->now, ev->ms);
+		break;
 	case WORLD_CALLERS_LEAVE:
 		extend(&w->leave_until, w->now, ev->ms);
 		break;
@@ -1418,6 +1452,9 @@
 		start_worker(w, ev->index, NULL);
 		break;
 	}
+	if (ev->fault == WORLD_WORKER_RESTART ||
+	    ev->fault == WORLD_WORKER_CRASH)
+		w->agents[ev->index].cold_until = w->now + w->options.cold_ms;
 }
 
 /* ---- the loop ------------------------------------------------------------ */
@@ -1766,15 +1803,43 @@
 	return (w->violation[0] == '\0' ? NULL : w->violation);
 }
 
+/*
+ * Returns the largest relative error of the measured speeds, in thousandths.
+ * Only ratios of speeds are defined, so both are related to their means.
+ */
+static uint32_t
+speed_error(const struct world *w)
+{
+	double measured[WORLD_AGENTS_MAX], actual, mean = 0, worst = 0;
+	struct mlk_runner_gauges gauges = { 0 };
+	uint32_t i;
+
+	for (i = 0; i < w->options.agents; i++) {
+		if (w->agents[i].r != NULL)
+			mlk_runner_gauges(w->agents[i].r, &gauges);
+		actual = w->options.speeds == NULL ? 1 : w->options.speeds[i];
+		/* An unknown speed counts as the usual one. */
+		measured[i] =
+		    log2((gauges.speed != 0 ? gauges.speed : 1000) / actual);
+		mean += measured[i] / w->options.agents;
+	}
+	for (i = 0; i < w->options.agents; i++)
+		worst = MAX(worst, fabs(exp2(measured[i] - mean) - 1));
+	return ((uint32_t)(worst * 1000));
+}
+
 void
 world_read_stats(const struct world *w, struct world_stats *out)
 {
 	uint32_t i;
 
 	*out = w->stats;
+	out->speed_error = speed_error(w);
 	for (i = 0; i < w->options.agents; i++) {
 		if (w->agents[i].r == NULL)
 			continue;
+		out->sick +=
+		    (uint32_t)mlk_runner_counters(w->agents[i].r)->sick;
 		out->tasks_refused +=
 		    (uint32_t)mlk_runner_counters(w->agents[i].r)->refused;
 	}
--- a/test/dispatch_world.h
+++ b/test/dispatch_world.h
@@ -51,6 +51,9 @@
 	WORLD_ORDERS_DROPPED, /* 40 % of the orders to b are lost */
 	WORLD_CONNS_REFUSED, /* b works on, but refuses 40 % or all of the
 				connections of its agent */
+	WORLD_CONNS_RESET, /* 80 % of the orders to b end at once with a reset
+			      of their connection; half of these are carried
+			      out */
 	WORLD_CALLERS_LEAVE, /* some callers who send in this time disconnect
 				 early */
 	WORLD_FOREIGN_ANNOUNCEMENTS, /* agent b gets announcements that its
@@ -64,6 +67,7 @@
 	uint32_t agents;
 	uint32_t jobs_per_s;
 	uint32_t cpu; /* capacity of each worker, thousandths of a core */
+	const double *speeds; /* of the workers; NULL: all 1 */
 	uint32_t start_answer_ms; /* longest time until a start is answered */
 	/*
 	 * From burst_at on, jobs_per_s is multiplied by burst_factor for
@@ -72,6 +76,10 @@
 	int64_t burst_at;
 	uint32_t burst_ms;
 	uint32_t burst_factor;
+	uint32_t cold_ms; /* for which a worker that has restarted is cold: it
+			     has a third of its speed */
+	bool stragglers; /* three tasks in a hundred, not all tasks of a job in
+			    twenty, take seven times as long */
 	bool retry_refused; /* refused callers send again after Retry-After */
 };
 
@@ -105,6 +113,11 @@
 	uint32_t gone; /* callers that disconnected early for good */
 	uint32_t unanswered; /* jobs without an answer at the end */
 	uint32_t runs; /* started at the workers */
+	uint32_t connections; /* that agents had to open for orders */
+	uint32_t fresh; /* of these for one order each */
+	uint32_t sick; /* times that workers were found sick */
+	uint32_t speed_error; /* largest deviation of a measured speed, relative
+				 to the mean of all, in thousandths */
 	uint32_t tasks_refused; /* by the agents that are up at the end */
 };
 
--- a/test/test_runner.c
+++ b/test/test_runner.c
@@ -7,8 +7,10 @@
 #include <stddef.h>
 #include <stdint.h>
 #include <stdio.h>
+#include <string.h>
 
 #include <cmocka.h>
+#include <glib.h>
 
 #include "dispatch_world.h"
 
@@ -17,6 +19,16 @@
 #define START_AT 1001 /* the world starts at 1000 */
 #define FAULT_MS 4000
 #define END_AT 16000
+/* Connections that a worker with a fault may cost. */
+#define RESETS_PER_S 25
+#define FRESH_PER_S 1
+#define UNEVEN_SEEDS 12
+#define UNEVEN_IN_GOAL 985 /* thousandths, as the next one */
+#define SPEED_ERROR_MAX 200
+#define STRAGGLERS_IN_GOAL 995
+#define COLD_DOWN_MS 300
+#define COLD_JOBS_PER_S 8 /* the other workers can serve them */
+#define COLD_IN_GOAL 985
 #define REFUSALS_MAX 32 /* one RUN of 8 tasks at each of 4 agents */
 
 static const struct world_options base_options = { .entries = 2,
@@ -187,6 +199,7 @@
  * works on, is taken for one that has exited.
  */
 FAULT_TEST(test_conns_refused, WORLD_CONNS_REFUSED, FAULT_MS, 85)
+FAULT_TEST(test_conns_reset, WORLD_CONNS_RESET, FAULT_MS, 85)
 FAULT_TEST(test_callers_leave, WORLD_CALLERS_LEAVE, FAULT_MS, 60)
 
 /*
@@ -214,6 +227,127 @@
 	}
 }
 
+/*
+ * Runs worlds with one fault and sums up the connections that agents open.
+ */
+static void
+count_connections(enum world_fault fault, struct world_stats *sum)
+{
+	struct world_options options = base_options;
+	struct world_stats stats;
+
+	memset(sum, 0, sizeof(*sum));
+	for (options.seed = 1; options.seed <= SEEDS; options.seed++) {
+		run_world(&options, fault, FAULT_MS, &stats);
+		sum->connections += stats.connections;
+		sum->fresh += stats.fresh;
+	}
+	print_message("%u connections for orders, %u of them for one each\n",
+	    sum->connections, sum->fresh);
+}
+
+/*
+ * Guards against connections that are opened in a loop: the reset of one ends a
+ * listing at once, and the next listing follows at once on another.
+ */
+static void
+test_connections_in_resets(void **state)
+{
+	struct world_stats sum;
+
+	(void)state;
+	count_connections(WORLD_CONNS_RESET, &sum);
+	assert_in_range(
+	    sum.connections, 1, SEEDS * RESETS_PER_S * FAULT_MS / 1000);
+}
+
+/*
+ * Guards against a new connection for each listing that confirms a fence, while
+ * the connection of the last one is at hand.
+ */
+static void
+test_connections_in_drops(void **state)
+{
+	struct world_stats sum;
+
+	(void)state;
+	count_connections(WORLD_ORDERS_DROPPED, &sum);
+	assert_in_range(sum.fresh, 1, SEEDS * FRESH_PER_S * FAULT_MS / 1000);
+}
+
+/*
+ * Guards against tasks on slow workers that end late there while faster ones
+ * have resources free, and against wrong speeds, which agents and entries
+ * measure each with the figures of the other.
+ */
+static void
+test_uneven_workers(void **state)
+{
+	static const double speeds[] = { 0.6, 1.6, 0.8, 1.2 };
+	struct world_options options = base_options;
+	struct world_stats stats, sum = { 0 };
+
+	(void)state;
+	options.speeds = speeds;
+	for (options.seed = 1; options.seed <= UNEVEN_SEEDS; options.seed++) {
+		run_world(&options, WORLD_FAULTS, 0, &stats);
+		sum.jobs += stats.jobs;
+		sum.in_goal += stats.in_goal;
+		sum.speed_error = MAX(sum.speed_error, stats.speed_error);
+	}
+	print_message("%u of %u jobs in their goal, speeds off by up to %u "
+		      "thousandths\n",
+	    sum.in_goal, sum.jobs, sum.speed_error);
+	assert_true(sum.in_goal * 1000 >= sum.jobs * UNEVEN_IN_GOAL);
+	assert_in_range(sum.speed_error, 0, SPEED_ERROR_MAX);
+}
+
+/*
+ * Guards against healthy workers that are found sick because of single long
+ * tasks, and get no work.
+ */
+static void
+test_stragglers(void **state)
+{
+	struct world_options options = base_options;
+	struct world_stats stats, sum = { 0 };
+
+	(void)state;
+	options.stragglers = true;
+	for (options.seed = 1; options.seed <= SEEDS; options.seed++) {
+		run_world(&options, WORLD_FAULTS, 0, &stats);
+		sum.jobs += stats.jobs;
+		sum.in_goal += stats.in_goal;
+		sum.sick += stats.sick;
+	}
+	print_message("%u of %u jobs in their goal, workers sick %u times\n",
+	    sum.in_goal, sum.jobs, sum.sick);
+	assert_true(sum.in_goal * 1000 >= sum.jobs * STRAGGLERS_IN_GOAL);
+	assert_in_range(sum.sick, 0, SEEDS / 2);
+}
+
+/*
+ * Guards against work for a worker that is cold after a restart, while the
+ * others have resources free.
+ */
+static void
+test_cold_worker(void **state)
+{
+	struct world_options options = base_options;
+	struct world_stats stats, sum = { 0 };
+
+	(void)state;
+	options.cold_ms = FAULT_MS;
+	options.jobs_per_s = COLD_JOBS_PER_S;
+	for (options.seed = 1; options.seed <= SEEDS; options.seed++) {
+		run_world(&options, WORLD_WORKER_RESTART, COLD_DOWN_MS, &stats);
+		sum.jobs += stats.jobs;
+		sum.in_goal += stats.in_goal;
+	}
+	print_message("%u of %u jobs in their goal\n", sum.in_goal, sum.jobs);
+	assert_true(sum.in_goal * 1000 >= sum.jobs * COLD_IN_GOAL);
+}
+
 #define RESTART_GAP_MS 400
 #define RESTART_MS 700
 #define START_ANSWER_MS 20
@@ -316,8 +450,14 @@
 		cmocka_unit_test(test_answers_lost),
 		cmocka_unit_test(test_orders_dropped),
 		cmocka_unit_test(test_conns_refused),
+		cmocka_unit_test(test_conns_reset),
+		cmocka_unit_test(test_connections_in_resets),
+		cmocka_unit_test(test_connections_in_drops),
 		cmocka_unit_test(test_callers_leave),
 		cmocka_unit_test(test_refusals_do_not_loop),
+		cmocka_unit_test(test_uneven_workers),
+		cmocka_unit_test(test_stragglers),
+		cmocka_unit_test(test_cold_worker),
 		cmocka_unit_test(test_restarts_under_load),
 		cmocka_unit_test(test_retries_after_burst),
 	};
