dispatch: the first speeds of equal workers do not look uneven

In 16 of 20 simulated starts of 60 equal workers, the speeds reported over the first tens of runs differed by 1.25 and more, so that placement would have changed for a while. Reports now move by three times the error of the runs counted at least, and speeds are used from a ratio of 1.35 on, which 100 such starts did not reach (1.31 at most). Speeds from the wire are bounded.

--- a/src/dispatch/dispatcher_speeds.c
+++ b/src/dispatch/dispatcher_speeds.c
@@ -17,18 +17,20 @@
 #define SPEEDS_INTERVAL_NS (250 * MS) /* between two updates */
 /*
  * Ratio of the highest to the lowest speed in a pool, in log2, from which on
- * its speeds are used (1.25) and below which they no longer are (1.15).  The
- * agents' errors alone make the speeds of 60 equal workers differ by 1.13.
+ * its speeds are used (1.35) and below which they no longer are (1.2).  The
+ * reported speeds of 60 equal workers differ by up to 1.31 while they are
+ * learnt and by 1.14 afterwards (simulated).
  */
-#define UNEVEN_LOG 0.32
-#define EVEN_LOG 0.20
+#define UNEVEN_LOG 0.43
+#define EVEN_LOG 0.26
 /*
  * Cost of the certainty that the tasks end late, in thousandths of a worker's
  * capacity: more than the difference of an empty and a full worker, less than
  * DEGRADED_COST.  With a cost of 500, jobs in their goal fell from 0.992 to
- * 0.985 in simulated worlds at half of the capacity.
+ * 0.985 in simulated worlds.
  */
 #define LATE_COST 1400.0
+/* Bound on reported speeds, in log2 either way; agents report at most 2. */
 #define LOG_SPEED_MAX 3.0
 /* A job suits a worker on which its tasks end in time with this probability. */
 #define SUITS_CHANCE 0.5
@@ -39,10 +41,14 @@
 	bool uneven;
 };
 
+/*
+ * Returns log2 of the speed that an agent reports.
+ */
 static double
 log_speed(const struct agent *a)
 {
-	return (log2((double)a->info.speed / SPEED_UNIT));
+	return (CLAMP(log2((double)a->info.speed / SPEED_UNIT), -LOG_SPEED_MAX,
+	    LOG_SPEED_MAX));
 }
 
 static bool
@@ -150,8 +156,7 @@
 		mean = pool->sum / pool->n;
 		a->log_fastest = pool->max - mean;
 		if (speed_known(a))
-			a->log_speed = CLAMP(
-			    log_speed(a) - mean, -LOG_SPEED_MAX, LOG_SPEED_MAX);
+			a->log_speed = log_speed(a) - mean;
 	}
 }
 
--- a/src/dispatch/speed.c
+++ b/src/dispatch/speed.c
@@ -5,8 +5,9 @@
 
 /*
  * Estimates that are off by 0.4 either way spread single runs by 0.35 (log2),
- * and the tasks of a job share the error of their estimate.  256 runs are about
- * 80 jobs, so the error of their mean is about 3 %.
+ * and the tasks of a job share the error of their estimate.  With jobs of four
+ * tasks, the error of a mean over 256 runs is 2.2 % (standard deviation,
+ * simulated).
  */
 #define WINDOW 256U
 #define RUNS_MIN 24U /* before a speed is reported */
@@ -18,14 +19,15 @@
 /*
  * Bound on the deviation of one run from the estimate, in log2.  The tail of
  * the run times, three runs in a hundred that take seven times as long, lowers
- * the estimate by 2 %, and that of all workers equally.
+ * the estimate by 5 % (simulated), and that of all workers equally.
  */
 #define DEVIATION_MAX 1.0
 /*
- * The reported speed changes when the estimate differs by 2^0.15 or 11 %: three
- * times the error of the estimate.
+ * The reported speed changes when the estimate differs by 2^0.15 or 11 %, and
+ * by three times its error over the runs counted, 0.7 for a single job.
  */
 #define REPORT_STEP 0.15
+#define REPORT_STEP_ONE 2.1 /* divided by the root of the number of runs */
 #define SPEED_MIN 250.0
 #define SPEED_MAX 4000.0
 
@@ -56,7 +58,8 @@
 	if (speed->reported == 0)
 		speed->reported = SPEED_UNIT;
 	now = estimate(speed);
-	if (fabs(log2((double)now / speed->reported)) < REPORT_STEP)
+	if (fabs(log2((double)now / speed->reported)) <
+	    fmax(REPORT_STEP, REPORT_STEP_ONE / sqrt(speed->n)))
 		return (false);
 	speed->reported = now;
 	before = speed->logged != 0 ? speed->logged : SPEED_UNIT;
