--- a/src/dispatch/health.c
+++ b/src/dispatch/health.c
@@ -33,7 +33,7 @@
 /*
  * At most this many slow runs at once are taken for stragglers.  If three runs
  * in a hundred are seven times as long, 18 % of those at work are stragglers:
- * of ten, more than four in one of 30 cases.
+ * of ten, more than four in one of 50 cases.
  */
 #define STRAGGLERS_MAX 4U
 #define FAILED_JOBS 3U /* in a row; one job may fail by its own fault */
