dispatch, test: evacuations hold under interleavings

The pages of a read of the table may be of different versions; the set was then in force under the version of the first page, while another process could hold a different one under the same version. Such a read now counts when the changes up to its last page are known; the next call to the store does not wait, so that this takes one answer.

An agent kept the set of one entry when another entry had never held that set and therefore saw no change later: PING reaches a busy agent rarely. Agents now tell every entry the version of a changed set, and an entry sends a higher version also to agents that were ahead of it.

--- a/include/monsoonlock/dispatch.h
+++ b/include/monsoonlock/dispatch.h
@@ -59,6 +59,8 @@
 	int64_t delay; /* before the next call after a failure */
 	uint32_t failures; /* consecutive */
 	uint32_t max_wait_ms; /* how long the store may wait for a change */
+	bool behind; /* the table was read in pages of several versions, and the
+			changes since the first one are still to be read */
 	uint32_t wait_ms; /* of the current call */
 	uint32_t timeout_ms; /* of the current call, including wait_ms */
 	struct mlk_rng rng;
@@ -95,18 +97,26 @@
 
 /*
  * Follows the rows of the store that evacuate data centres.  A read of the
- * whole table begins with begin() and may take several pages; end() follows the
- * rows of its last page, and those of each response with changes.
+ * whole table begins with begin(); page() follows the rows of each page but the
+ * last, and end() those of the last page and of each response with changes.
  */
 struct mlk_evacuation_table;
 
+enum mlk_evacuation_rows {
+	MLK_EVACUATION_ROWS_SAME, /* no change */
+	MLK_EVACUATION_ROWS_CHANGED, /* there is a set with a higher version */
+	MLK_EVACUATION_ROWS_INCOMPLETE, /* the rows read are not yet known as
+					   of one version */
+};
+
 struct mlk_evacuation_table *mlk_evacuation_table_create(void);
 void mlk_evacuation_table_destroy(struct mlk_evacuation_table *table);
 void mlk_evacuation_table_begin(struct mlk_evacuation_table *table);
 void mlk_evacuation_table_row(struct mlk_evacuation_table *table,
     const char *dc, uint64_t version, bool removed);
-/* `version` is that of the read, and unused for changes. */
-bool mlk_evacuation_table_end(
+void mlk_evacuation_table_page(
+    struct mlk_evacuation_table *table, uint64_t version);
+enum mlk_evacuation_rows mlk_evacuation_table_end(
     struct mlk_evacuation_table *table, uint64_t version);
 uint32_t mlk_evacuation_table_copy(
     const struct mlk_evacuation_table *table, struct mlk_evacuations *out);
--- a/src/dispatch/dispatcher_evacuations.c
+++ b/src/dispatch/dispatcher_evacuations.c
@@ -3,9 +3,9 @@
  * agents and peers, and the confirmations of agents.
  *
  * Agents and peers get a set when it changes, when they connect, and when they
- * show a lower version.  A higher version of the same set is taken over but not
- * sent on at once: on an installation without evacuations, every start of an
- * entry brings one.
+ * show a lower version.  A higher version of the same set is taken over but
+ * sent only to agents that hold a version between the two: on an installation
+ * without evacuations, every start of an entry brings one.
  */
 #include <stdlib.h>
 #include <string.h>
@@ -125,6 +125,23 @@
 	}
 }
 
+/*
+ * Sends the set to the agents that have shown a version above `version`, which
+ * this entry held: theirs may be another set.
+ */
+static void
+send_to_agents_ahead(struct mlk_dispatcher *d, uint64_t version)
+{
+	struct agent *a;
+	guint i;
+
+	for (i = 0; i < d->agents->len; i++) {
+		a = g_ptr_array_index(d->agents, i);
+		if (a->link != 0 && a->evacuations_confirmed > version)
+			send_to_agent(d, a);
+	}
+}
+
 /*
  * Puts a set from the store or from a peer in force if its version is higher,
  * and sends it to all agents and peers if it differs.
@@ -134,15 +151,20 @@
     struct mlk_dispatcher *d, const struct mlk_evacuations *set)
 {
 	struct evacuations before = d->evacuations;
-	enum evacuations_result result;
 
 	before.items = g_array_copy(d->evacuations.items);
-	result = evacuations_adopt(&d->evacuations, set, d->now);
-	if (result == EVACUATIONS_CHANGED) {
+	switch (evacuations_adopt(&d->evacuations, set, d->now)) {
+	case EVACUATIONS_IGNORED:
+		break;
+	case EVACUATIONS_SAME:
+		send_to_agents_ahead(d, before.version);
+		break;
+	case EVACUATIONS_CHANGED:
 		d->counters.evacuations++;
 		distribute(d);
 		log_changes(d, &before);
 		d->place_due = true;
+		break;
 	}
 	(void)g_array_free(before.items, TRUE);
 }
--- a/src/dispatch/evacuation_table.c
+++ b/src/dispatch/evacuation_table.c
@@ -2,7 +2,9 @@
  * Rows of the store that evacuate data centres; see dispatch.h.
  *
  * The rows of a read are collected apart from those in force, so that a read in
- * several pages has no effect before its last page.
+ * several pages has no effect before its last page.  Pages of different
+ * versions do not show the table as of one version; they have no effect before
+ * the changes up to the highest of these versions are known.
  */
 #include <stdlib.h>
 #include <string.h>
@@ -16,6 +18,9 @@
 	uint64_t changed; /* highest version of a change since; 0: none */
 	GHashTable *rows; /* data centre -> uint64_t version of its row */
 	GHashTable *reading; /* rows of the read in progress, or NULL */
+	bool catching_up; /* its pages are complete, but of several versions */
+	uint64_t first; /* version of its first page; 0: none yet */
+	uint64_t last; /* highest version of its pages */
 };
 
 static GHashTable *
@@ -60,6 +65,10 @@
 {
 	end_read(t);
 	t->reading = rows_new();
+	t->catching_up = false;
+	t->changed = 0;
+	t->first = 0;
+	t->last = 0;
 }
 
 static void
@@ -77,41 +86,56 @@
 mlk_evacuation_table_row(struct mlk_evacuation_table *t, const char *dc,
     uint64_t version, bool removed)
 {
-	if (t->reading != NULL) {
-		if (!removed)
-			row_set(t->reading, dc, version);
-		return;
-	}
-	if (version <= t->version)
+	GHashTable *rows = t->reading != NULL ? t->reading : t->rows;
+
+	if (t->reading == NULL && version <= t->version)
 		return;
 	if (removed)
-		(void)g_hash_table_remove(t->rows, dc);
+		(void)g_hash_table_remove(rows, dc);
 	else
-		row_set(t->rows, dc, version);
+		row_set(rows, dc, version);
 	t->changed = MAX(t->changed, version);
 }
 
 /*
- * The last row of a response has been handled: the last page of a read as of
- * `version`, or changes.  Returns whether there is a new set.
+ * The rows of a page as of `version` have been handled, and other pages follow.
+ */
+void
+mlk_evacuation_table_page(struct mlk_evacuation_table *t, uint64_t version)
+{
+	if (t->first == 0)
+		t->first = version;
+	t->last = MAX(t->last, version);
+}
+
+/*
+ * The rows of a response as of `version` have been handled: the last page of a
+ * read, or changes.
  */
-bool
+enum mlk_evacuation_rows
 mlk_evacuation_table_end(struct mlk_evacuation_table *t, uint64_t version)
 {
-	bool changed;
-
-	if (t->reading != NULL) {
-		g_hash_table_destroy(t->rows);
-		t->rows = t->reading;
-		t->reading = NULL;
-		t->version = version;
-		t->changed = 0;
-		return (true);
-	}
-	changed = t->changed > t->version;
-	t->version = MAX(t->version, t->changed);
+	uint64_t changed = t->changed;
+
 	t->changed = 0;
-	return (changed);
+	if (t->reading == NULL) {
+		t->version = MAX(t->version, changed);
+		return (changed > 0 ? MLK_EVACUATION_ROWS_CHANGED :
+				      MLK_EVACUATION_ROWS_SAME);
+	}
+	if (!t->catching_up) {
+		mlk_evacuation_table_page(t, version);
+		t->catching_up = t->first != t->last;
+		if (t->catching_up)
+			return (MLK_EVACUATION_ROWS_INCOMPLETE);
+	}
+	if (version < t->last)
+		return (MLK_EVACUATION_ROWS_INCOMPLETE);
+	g_hash_table_destroy(t->rows);
+	t->rows = t->reading;
+	t->reading = NULL;
+	t->version = version;
+	return (MLK_EVACUATION_ROWS_CHANGED);
 }
 
 static int
--- a/src/dispatch/runner.c
+++ b/src/dispatch/runner.c
@@ -277,6 +277,7 @@
 	runner_candidate_due(r);
 	runner_list_due(r);
 	stop_due(r);
+	runner_evacuations_due(r);
 	runner_links_flush(r);
 	r->out = NULL;
 	return (0);
--- a/src/dispatch/runner_evacuations.c
+++ b/src/dispatch/runner_evacuations.c
@@ -18,15 +18,18 @@
 }
 
 /*
- * Tells an entry which version this agent holds.
+ * Tells an entry which version this agent holds, unless it knows.
  */
 static void
-send_version(struct mlk_runner *r, struct entry *e)
+show_version(struct mlk_runner *r, struct entry *e)
 {
 	struct mlk_msg *msg;
 
+	if (e->evacuations_shown >= r->evacuations.version)
+		return;
 	msg = runner_send(r, e, MLK_MSG_EVACUATIONS);
 	msg->u.evacuations.version = r->evacuations.version;
+	e->evacuations_shown = r->evacuations.version;
 }
 
 /*
@@ -39,7 +42,9 @@
 {
 	bool before = runner_evacuated(r), now;
 
-	(void)evacuations_adopt(&r->evacuations, set, r->now);
+	if (evacuations_adopt(&r->evacuations, set, r->now) ==
+	    EVACUATIONS_CHANGED)
+		r->evacuations_changed = r->evacuations.version;
 	now = runner_evacuated(r);
 	if (now != before) {
 		if (now)
@@ -51,17 +56,23 @@
 			  "%" PRIu64 ", %u runs at work",
 		    r->options.dc, r->evacuations.version, r->nactive);
 	}
-	send_version(r, e);
+	show_version(r, e);
 }
 
 /*
- * An entry has shown the version that it holds.  One that holds a higher
- * version gets the one of this agent, and sends the set.
+ * Tells every entry the version of a changed set.  Otherwise an entry that has
+ * not held this set would not send the next one, if that equals its own.
  */
 void
-runner_evacuations_shown(
-    struct mlk_runner *r, struct entry *e, uint64_t version)
+runner_evacuations_due(struct mlk_runner *r)
 {
-	if (version > r->evacuations.version)
-		send_version(r, e);
+	struct entry *e;
+	guint i;
+
+	for (i = 0; i < r->entries->len; i++) {
+		e = g_ptr_array_index(r->entries, i);
+		if (e->attached &&
+		    e->evacuations_shown < r->evacuations_changed)
+			show_version(r, e);
+	}
 }
--- a/src/dispatch/runner_links.c
+++ b/src/dispatch/runner_links.c
@@ -363,7 +363,6 @@
 		mlk_skew_answer(&e->skew, (int64_t)runner_now_ms(r),
 		    msg->u.ping.sent_at, msg->u.ping.echo);
 		(void)note_sent_at(r, e, msg->u.ping.sent_at);
-		runner_evacuations_shown(r, e, msg->u.ping.evacuations);
 		break;
 	case MLK_MSG_EVACUATIONS:
 		runner_evacuations(r, e, &msg->u.evacuations);
@@ -396,6 +395,7 @@
 	msg->u.attach.incarnation = r->options.incarnation;
 	e->attached = true;
 	e->report_now = true;
+	e->evacuations_shown = 0;
 	e->last_alive = r->now;
 }
 
--- a/src/dispatch/runner_priv.h
+++ b/src/dispatch/runner_priv.h
@@ -145,6 +145,7 @@
 	int64_t want_at; /* urgency of `want` as a time */
 	int64_t want_until; /* `want` is out of date after this time */
 	bool report_now; /* send WORKER at once */
+	uint64_t evacuations_shown; /* highest version sent on this link */
 	struct mlk_worker_load reported_load;
 };
 
@@ -274,6 +275,8 @@
 	struct mlk_resources offered;
 	struct health health;
 	struct evacuations evacuations;
+	uint64_t evacuations_changed; /* version of the last set that differed
+					 from the one before */
 	enum mlk_worker_state state; /* as last reported to entries */
 	bool takes_work; /* as last reported to entries */
 	uint64_t list_number;
@@ -315,8 +318,7 @@
 bool runner_evacuated(const struct mlk_runner *r);
 void runner_evacuations(
     struct mlk_runner *r, struct entry *e, const struct mlk_evacuations *set);
-void runner_evacuations_shown(
-    struct mlk_runner *r, struct entry *e, uint64_t version);
+void runner_evacuations_due(struct mlk_runner *r);
 
 /* runner_orders.c */
 void runner_order_start(struct mlk_runner *r, struct run *run);
--- a/src/dispatch/watch.c
+++ b/src/dispatch/watch.c
@@ -49,7 +49,8 @@
 	 * outage.  After a failure the call therefore does not wait, so that
 	 * the store's recovery is noticed.
 	 */
-	watch->wait_ms = watch->failures > 0 ? 0 : watch->max_wait_ms;
+	watch->wait_ms =
+	    watch->failures > 0 || watch->behind ? 0 : watch->max_wait_ms;
 	watch->timeout_ms += watch->wait_ms;
 	return (MLK_WATCH_FOLLOW);
 }
@@ -88,6 +89,8 @@
 		 * The pages of a table may differ in their versions.  What has
 		 * changed since the first one is read again as a change.
 		 */
+		watch->behind = watch->last_key[0] != '\0' &&
+		    version != watch->first_version;
 		if (watch->last_key[0] != '\0')
 			version = watch->first_version;
 		watch->last_key[0] = '\0';
--- /dev/null
+++ b/test/mutations/evacuation_agents_ahead.sed
@@ -0,0 +1,1 @@
+s/a->evacuations_confirmed > version)/a == NULL \&\& version == 0)/
--- /dev/null
+++ b/test/mutations/evacuation_not_on_ping.sed
@@ -0,0 +1,1 @@
+/dispatch_evacuations_newer(d, link, msg->u.ping.evacuations);/d
--- /dev/null
+++ b/test/mutations/evacuation_not_shown.sed
@@ -0,0 +1,1 @@
+s/e->evacuations_shown < r->evacuations_changed/e == NULL/
--- /dev/null
+++ b/test/mutations/evacuation_older_set.sed
@@ -0,0 +1,1 @@
+s/set->version <= e->version/set->version == e->version/
--- /dev/null
+++ b/test/mutations/evacuation_removal_unversioned.sed
@@ -0,0 +1,1 @@
+s/^\tt->changed = MAX(t->changed, version);/\tif (!removed) t->changed = MAX(t->changed, version);/
--- /dev/null
+++ b/test/mutations/evacuation_run_taken.sed
@@ -0,0 +1,1 @@
+/^	    !runner_evacuated(r) &&$/d
--- a/test/test_watch.c
+++ b/test/test_watch.c
@@ -65,6 +65,10 @@
 	mlk_watch_ended(&w, MLK_WATCH_ROWS, 12, 0);
 	assert_int_equal(mlk_watch_due(&w, 10 * MS), MLK_WATCH_FOLLOW);
 	assert_int_equal(w.version, 7);
+	assert_int_equal(w.wait_ms, 0);
+	mlk_watch_ended(&w, MLK_WATCH_ROWS, 12, 20 * MS);
+	assert_int_equal(mlk_watch_due(&w, 30 * MS), MLK_WATCH_FOLLOW);
+	assert_int_equal(w.wait_ms, WAIT_MS);
 }
 
 /*
