--- a/scripts/monsoonctl.bash
+++ b/scripts/monsoonctl.bash
@@ -24,9 +24,9 @@
 		return
 		;;
 	*)
-		words="intents plan confirm audit status drain watch --entry
-		    --token-env --target --reason --expires --base --change
-		    --yes --json --tls --tls-ca --help"
+		words="intents plan confirm audit status drain watch
+		    evacuations --entry --token-env --target --reason --expires
+		    --base --change --yes --json --tls --tls-ca --help"
 		;;
 	esac
 	mapfile -t COMPREPLY < <(compgen -W "$words" -- "$cur")
--- a/src/ctl/ctl.h
+++ b/src/ctl/ctl.h
@@ -46,6 +46,7 @@
     const char *digest, long long base, const json_t *change);
 void ctl_print_audit(const struct ctl *ctl, const json_t *answer);
 void ctl_print_status(const struct ctl *ctl, const json_t *answer);
+void ctl_print_evacuations(const struct ctl *ctl, const json_t *answer);
 void ctl_print_error(const struct ctl *ctl, const json_t *answer, int status);
 
 #endif
--- a/src/ctl/main.c
+++ b/src/ctl/main.c
@@ -330,6 +330,8 @@
 		return (show(ctl, "/v1/audit", ctl_print_audit));
 	if (strcmp(command, "status") == 0)
 		return (show(ctl, "/v1/status", ctl_print_status));
+	if (strcmp(command, "evacuations") == 0)
+		return (show(ctl, "/evacuations", ctl_print_evacuations));
 	if (strcmp(command, "watch") == 0)
 		return (watch(ctl));
 	return (usage("unknown command"));
@@ -371,6 +373,8 @@
 	g_option_context_set_summary(context,
 	    "Commands: intents, plan TYPE SUBJECT [VALUE], plan remove ID, "
 	    "confirm DIGEST,\naudit, status, drain worker|dc NAME, watch.\n"
+	    "On the users' platform: evacuations (--entry is the metrics "
+	    "address of an entry).\n"
 	    "Exit codes: 0 done, 1 refused or conflict, 2 usage, "
 	    "3 unreachable.");
 	g_option_context_add_main_entries(context, options, NULL);
--- a/src/ctl/print.c
+++ b/src/ctl/print.c
@@ -10,6 +10,8 @@
 
 #include "ctl.h"
 
+#define MS_PER_S 1000.0
+
 /*
  * Returns a string member, or "-" when it is absent or empty.
  */
@@ -182,6 +184,50 @@
 	}
 }
 
+/*
+ * Prints the ids of the agents that have not confirmed an evacuation.
+ */
+static void
+print_unconfirmed(const json_t *list)
+{
+	const json_t *id;
+	size_t i;
+
+	if (json_array_size(list) == 0)
+		(void)printf("-");
+	json_array_foreach(list, i, id)
+	{
+		(void)printf("%s%s", i == 0 ? "" : " ",
+		    json_is_string(id) ? json_string_value(id) : "?");
+	}
+	(void)printf("\n");
+}
+
+void
+ctl_print_evacuations(const struct ctl *ctl, const json_t *answer)
+{
+	const json_t *list, *item;
+	size_t i;
+
+	(void)ctl;
+	list = json_object_get(answer, "evacuations");
+	(void)printf("version %lld\n", int_of(answer, "version"));
+	if (json_array_size(list) == 0) {
+		(void)printf("no data centre is evacuated\n");
+		return;
+	}
+	(void)printf("%-16s %8s %10s %7s %8s %s\n", "DC", "VERSION",
+	    "SINCE (s)", "AGENTS", "RUNNING", "NOT CONFIRMED BY");
+	json_array_foreach(list, i, item)
+	{
+		(void)printf("%-16s %8lld %10.1f %7lld %8lld ",
+		    text_of(item, "dc"), int_of(item, "version"),
+		    (double)int_of(item, "since_ms") / MS_PER_S,
+		    int_of(item, "agents"), int_of(item, "running"));
+		print_unconfirmed(json_object_get(item, "unconfirmed"));
+	}
+}
+
 void
 ctl_print_error(const struct ctl *ctl, const json_t *answer, int status)
 {
--- a/test/test_ctl.c
+++ b/test/test_ctl.c
@@ -469,10 +469,12 @@
 }
 
 /*
- * Checks the result of `monsoonctl intents` when a server answers with text.
+ * Checks the result of a command line when the server at $PAGE answers with
+ * text.
  */
 static void
-expect_page(const char *text, int code, const char *out, const char *err)
+expect_served(const char *text, const char *line, int code, const char *out,
+    const char *err)
 {
 	struct page page = { .text = text };
 	char addr[MLK_ADDR_MAX];
@@ -481,12 +483,44 @@
 	page.fd = listen_loopback(addr);
 	(void)g_setenv("PAGE", addr, TRUE);
 	thread = g_thread_new("page", serve_page, &page);
-	expect_line(
-	    "monsoonctl --entry $PAGE --token-env MLT intents", code, out, err);
+	expect_line(line, code, out, err);
 	(void)g_thread_join(thread);
 	(void)close(page.fd);
 }
 
+/*
+ * Checks the result of `monsoonctl intents` when a server answers with text.
+ */
+static void
+expect_page(const char *text, int code, const char *out, const char *err)
+{
+	expect_served(text, "monsoonctl --entry $PAGE --token-env MLT intents",
+	    code, out, err);
+}
+
+/* Guards against an evacuation, or an agent that has not confirmed it, that is
+ * not shown. */
+static void
+test_evacuations(void **state)
+{
+	static const char line[] = "monsoonctl --entry $PAGE evacuations";
+
+	(void)state;
+	expect_served("HTTP/1.1 200 OK\r\nContent-Length: 31\r\n\r\n"
+		      "{\"version\":41,\"evacuations\":[]}",
+	    line, DONE, "version 41\nno data centre is evacuated\n", NULL);
+	expect_served("HTTP/1.1 200 OK\r\nContent-Length: 134\r\n\r\n"
+		      "{\"version\":42,\"evacuations\":[{\"dc\":\"dc-b\","
+		      "\"version\":40,\"since_ms\":12345,\"agents\":3,"
+		      "\"unconfirmed\":[\"agent-4\",\"agent-7\"],"
+		      "\"running\":12}]}",
+	    line, DONE,
+	    "dc-b                   40       12.3       3       12 "
+	    "agent-4 agent-7\n",
+	    NULL);
+	expect_ctl("evacuations", REFUSED, NULL, "(status 404");
+}
+
 /* Guards against the answer of a server that is not an entry being shown as an
  * empty configuration. */
 static void
@@ -659,6 +693,7 @@
 		cmocka_unit_test(test_usage),
 		cmocka_unit_test(test_no_answer),
 		cmocka_unit_test(test_other_server),
+		cmocka_unit_test(test_evacuations),
 		cmocka_unit_test_setup_teardown(
 		    test_tls, setup_tls, teardown_tls),
 	};
--- a/test/test_site.c
+++ b/test/test_site.c
@@ -747,6 +747,31 @@
 	assert_int_equal(routing.version, 0);
 }
 
+/* Guards against a change of the fields that operators' tools read. */
+static void
+test_evacuations_body(void **state)
+{
+	char unconfirmed[1][MLK_NAME_MAX] = { "agent-1" };
+	struct mlk_evacuation_status item = { .dc = "dc-a",
+		.version = 7,
+		.since_ms = 1500,
+		.agents = 2,
+		.running = 3,
+		.nunconfirmed = 1,
+		.unconfirmed = unconfirmed };
+	const struct mlk_evacuation_report report = {
+		.version = 9, .n = 1, .items = &item
+	};
+	char *body = site_evacuations_body(&report);
+
+	(void)state;
+	assert_string_equal(body,
+	    "{\"version\":9,\"evacuations\":[{\"dc\":\"dc-a\","
+	    "\"version\":7,\"since_ms\":1500,\"agents\":2,"
+	    "\"unconfirmed\":[\"agent-1\"],\"running\":3}]}");
+	free(body);
+}
+
 #define MS ((int64_t)MLK_NSEC_PER_MSEC)
 #define TICK_MS 20 /* of the programs */
 /* From a stall on, until a process is in touch with the store again. */
@@ -804,6 +829,7 @@
 		cmocka_unit_test(test_rows_odd),
 		cmocka_unit_test(test_entry_address),
 		cmocka_unit_test(test_routing),
+		cmocka_unit_test(test_evacuations_body),
 		cmocka_unit_test(test_stalled_store_is_noticed),
 	};
 
