--- a/load/arrivals.c
+++ b/load/arrivals.c
@@ -19,8 +19,8 @@
 /*
  * Returns a number in [0, 1).
  */
-static double
-draw_unit(struct mlk_rng *rng)
+double
+mlk_load_draw_unit(struct mlk_rng *rng)
 {
 	return (
 	    ldexp((double)(mlk_rng_next(rng) >> (64 - UNIT_BITS)), -UNIT_BITS));
@@ -124,7 +124,7 @@
 next_arrival(const struct mlk_load_scenario *sc, double base, double t,
     struct mlk_rng *rng)
 {
-	double remaining = -log(1.0 - draw_unit(rng));
+	double remaining = -log(1.0 - mlk_load_draw_unit(rng));
 	double rate, until;
 
 	for (;;) {
@@ -139,7 +139,7 @@
 static uint32_t
 draw_kind(const struct mlk_load_scenario *sc, struct mlk_rng *rng)
 {
-	double remaining = draw_unit(rng);
+	double remaining = mlk_load_draw_unit(rng);
 	uint32_t i;
 
 	for (i = 0; i + 1 < sc->nkinds; i++) {
@@ -153,7 +153,7 @@
 static uint32_t
 draw_ntasks(const struct mlk_load_scenario *sc, struct mlk_rng *rng)
 {
-	double remaining = draw_unit(rng);
+	double remaining = mlk_load_draw_unit(rng);
 	uint32_t i;
 
 	if (sc->nsizes == 0)
@@ -169,7 +169,7 @@
 static uint32_t
 draw_run_ms(const struct mlk_load_kind *k, struct mlk_rng *rng)
 {
-	if (draw_unit(rng) < k->straggler_share)
+	if (mlk_load_draw_unit(rng) < k->straggler_share)
 		return (
 		    draw_range(rng, k->straggler_min_ms, k->straggler_max_ms));
 	return (draw_range(rng, k->min_ms, k->max_ms));
@@ -183,7 +183,7 @@
 static int64_t
 draw_delay(struct mlk_rng *rng, double share)
 {
-	bool selected = draw_unit(rng) < share;
+	bool selected = mlk_load_draw_unit(rng) < share;
 	uint32_t ms = draw_range(rng, 1, IMPATIENCE_MAX_MS);
 
 	return (selected ? ms * MLK_NSEC_PER_MSEC : 0);
--- a/load/arrivals.h
+++ b/load/arrivals.h
@@ -31,6 +31,7 @@
 	double mean_rate; /* target, in jobs per second */
 };
 
+double mlk_load_draw_unit(struct mlk_rng *rng);
 double mlk_load_mean_work(const struct mlk_load_scenario *sc);
 double mlk_load_base_rate(const struct mlk_load_scenario *sc);
 int mlk_load_arrivals_create(const struct mlk_load_scenario *sc,
--- a/load/main.c
+++ b/load/main.c
@@ -2,6 +2,7 @@
  * monsoonlock-load: runs a scenario against a deployment that it starts on
  * loopback, against stand-in endpoints without entries, or against entries that
  * already run.  Reports response times, message counts and violated guarantees.
+ * The command "ideal" calculates what a day file allows instead (ideal.h).
  */
 #include <signal.h>
 #include <stdio.h>
@@ -12,6 +13,7 @@
 
 #include <glib.h>
 
+#include "ideal.h"
 #include "report.h"
 
 #define EXIT_BROKEN 1 /* guarantee violated, answer missing or error */
@@ -122,7 +124,7 @@
 	gboolean ok;
 
 	context = g_option_context_new(
-	    "run SCENARIO | direct SCENARIO | against IP:PORT...");
+	    "run SCENARIO | direct SCENARIO | against IP:PORT... | ideal DAY");
 	g_option_context_add_main_entries(context, entries, NULL);
 	ok = g_option_context_parse(context, argc, argv, &gerr);
 	g_option_context_free(context);
@@ -329,6 +331,41 @@
 	return (error);
 }
 
+/*
+ * Calculates and prints the results of a day file.  Starts no process.
+ */
+static int
+command_ideal(
+    const struct options *opt, const char *path, struct mlk_error *err)
+{
+	struct mlk_ideal_report report = { .n = 0 };
+	struct mlk_ideal_day *day;
+	struct mlk_ideal_jobs *jobs = NULL;
+	int error;
+
+	if (opt->duration_s != 0.0 || opt->workers != 0)
+		return (mlk_error_set(err, MLK_ERR_INVALID,
+		    "ideal takes the duration and the workers from the file"));
+	error = mlk_ideal_day_read(path, &day, err);
+	if (error != 0)
+		return (error);
+	if (opt->seed > 0)
+		day->seed = (uint64_t)opt->seed;
+	error = mlk_ideal_jobs_create(day, &jobs, err);
+	if (error == 0) {
+		report.day = day;
+		report.jobs = jobs;
+		mlk_ideal_report_run(&report);
+		mlk_ideal_report_text(stdout, &report);
+		if (opt->json != NULL)
+			error = mlk_ideal_report_json(opt->json, &report, err);
+		mlk_ideal_report_clear(&report);
+	}
+	mlk_ideal_jobs_free(jobs);
+	mlk_ideal_day_free(day);
+	return (error);
+}
+
 static int
 write_reports(const struct session *s, struct mlk_error *err)
 {
@@ -402,6 +439,7 @@
 	    "usage: monsoonlock-load run SCENARIO [OPTION...]\n"
 	    "       monsoonlock-load direct SCENARIO [OPTION...]\n"
 	    "       monsoonlock-load against IP:PORT... --scenario FILE\n"
+	    "       monsoonlock-load ideal DAY [--seed N] [--json FILE]\n"
 	    "monsoonlock-load --help lists the options\n");
 	return (EXIT_USAGE);
 }
@@ -420,6 +458,14 @@
 		clear_options(&s.opt);
 		return (usage());
 	}
+	if (strcmp(argv[1], "ideal") == 0) {
+		error = command_ideal(&s.opt, argv[2], &err);
+		if (error != 0)
+			(void)fprintf(
+			    stderr, "monsoonlock-load: %s\n", err.msg);
+		clear_options(&s.opt);
+		return (error == 0 ? EXIT_SUCCESS : EXIT_BROKEN);
+	}
 	if (s.opt.bin_dir == NULL)
 		s.opt.bin_dir = default_bin_dir(argv[0]);
 	catch_signals();
--- a/load/scenario.c
+++ b/load/scenario.c
@@ -372,6 +372,9 @@
 		g_strdelimit(g_strchomp(log->str), "\n", ';');
 		error = mlk_error_set(err, MLK_ERR_SETTINGS, "%s: %s: %s", name,
 		    cyaml_strerror(cerr), log->str);
+	} else if (*out == NULL) {
+		error = mlk_error_set(
+		    err, MLK_ERR_SETTINGS, "%s: the file is empty", name);
 	} else if (check_scenario(*out, &inner) != 0) {
 		error = mlk_error_set(
 		    err, MLK_ERR_SETTINGS, "%s: %s", name, inner.msg);
--- a/test/test_load.c
+++ b/test/test_load.c
@@ -50,6 +50,7 @@
 test_scenario_errors(void **state)
 {
 	(void)state;
+	check_rejected("# nothing\n", "empty");
 	check_rejected(HEAD "load: 0.5\n", "kinds");
 	check_rejected(HEAD KINDS "load: 0.5\nspeed: 2\n", "speed");
 	check_rejected(HEAD KINDS, "either load or rate");
