ctl: check a configuration of the platform before it is sent

An operator could not tell what entries make of a configuration until it was in force: values of another type or out of range were replaced without a word, and routes that never match or whose service does not exist showed as refused jobs.

An entry serves that as GET /configuration on its metrics address. The parser, the check and the comparison are a library in platform/, which the entries and monsoonctl link.

--- a/fuzz/fuzz_site.c
+++ b/fuzz/fuzz_site.c
@@ -36,7 +36,7 @@
 {
 	struct mlk_routing routing;
 	uint32_t i;
-	char why[64];
+	char why[SITE_WHY_MAX];
 
 	if (!site_routing_parse(&routing, data, size, why)) {
 		check(why[0] != '\0' && routing.nroutes == 0);
@@ -48,6 +48,48 @@
 	mlk_routing_clear(&routing);
 }
 
+/*
+ * The check must accept exactly what the parser of the entries accepts, give
+ * each finding a place, and what an entry serves must parse to the same table.
+ */
+static void
+fuzz_check(const uint8_t *data, size_t size)
+{
+	struct mlk_routing checked, parsed, again;
+	const struct site_finding *f;
+	struct site_findings *findings;
+	char why[SITE_WHY_MAX], *text;
+	uint32_t i, last = 1;
+	GArray *diff;
+	json_t *json;
+
+	findings = site_config_check(&checked, data, size);
+	for (i = 0; (f = site_findings_at(findings, i)) != NULL; i++) {
+		check(f->line >= last && f->text[0] != '\0');
+		last = f->line;
+	}
+	check(site_routing_parse(&parsed, data, size, why) ==
+	    (checked.version > 0));
+	check(parsed.version > 0 ||
+	    site_findings_count(findings, SITE_ERROR) > 0);
+	if (parsed.version > 0) {
+		json = site_routing_json(&parsed);
+		text = json_dumps(json, JSON_COMPACT);
+		check(text != NULL &&
+		    site_routing_parse(
+			&again, (const guchar *)text, strlen(text), why));
+		diff = site_config_diff(&checked, &again);
+		check(diff->len == 0);
+		(void)g_array_free(diff, TRUE);
+		mlk_routing_clear(&again);
+		json_decref(json);
+		free(text);
+	}
+	site_findings_destroy(findings);
+	mlk_routing_clear(&checked);
+	mlk_routing_clear(&parsed);
+}
+
 static void
 fuzz_rows(const uint8_t *data, size_t size)
 {
@@ -136,6 +178,9 @@
 	case 'm':
 		fuzz_routing(data + 1, size - 1);
 		break;
+	case 'c':
+		fuzz_check(data + 1, size - 1);
+		break;
 	case 'r':
 		fuzz_rows(data + 1, size - 1);
 		break;
--- a/include/monsoonlock/dispatch.h
+++ b/include/monsoonlock/dispatch.h
@@ -503,6 +503,9 @@
 /* Whether a route in the current routing table matches this request. */
 bool mlk_dispatcher_routes(const struct mlk_dispatcher *dispatcher,
     const char *host, const char *path);
+/* The routing table in force; valid until the next event is applied. */
+const struct mlk_routing *mlk_dispatcher_routing(
+    const struct mlk_dispatcher *dispatcher);
 const struct mlk_dispatch_counters *mlk_dispatch_counters(
     const struct mlk_dispatcher *dispatcher);
 void mlk_dispatch_gauges(
--- a/scripts/monsoonctl.bash
+++ b/scripts/monsoonctl.bash
@@ -16,17 +16,17 @@
 	--token-env)
 		words=$(compgen -e)
 		;;
-	--tls-ca)
+	check | --tls-ca)
 		mapfile -t COMPREPLY < <(compgen -f -- "$cur")
 		return
 		;;
-	--entry | --target | --reason | --expires | --base | --change)
+	--entry | --against | --target | --reason | --expires | --base | --change)
 		return
 		;;
 	*)
-		words="intents plan confirm audit status drain watch --entry
+		words="intents plan confirm audit status drain watch check --entry
 		    --token-env --target --reason --expires --base --change
-		    --yes --json --tls --tls-ca --help"
+		    --against --yes --json --tls --tls-ca --help"
 		;;
 	esac
 	mapfile -t COMPREPLY < <(compgen -W "$words" -- "$cur")
--- a/src/ctl/ctl.h
+++ b/src/ctl/ctl.h
@@ -25,6 +25,7 @@
 	int64_t expires_in; /* seconds; 0: never */
 	int64_t base; /* confirm: base version */
 	char *change; /* confirm: JSON from the plan's output */
+	char *against; /* check: entry to compare with, or NULL */
 	int json;
 	int tls;
 	char *tls_ca; /* PEM file of trusted certificates, or NULL */
@@ -40,6 +41,13 @@
 int ctl_request(const struct ctl *ctl, const char *method, const char *path,
     const json_t *body, uint32_t timeout_ms, json_t **answer);
 
+/*
+ * Checks a configuration file of the users' platform.  Returns the exit code: 0
+ * nothing found, 1 warnings, 2 errors, 3 the entry to compare with did not
+ * answer.
+ */
+int ctl_check(const struct ctl *ctl, const char *file);
+
 void ctl_print_intents(const struct ctl *ctl, const json_t *answer);
 void ctl_print_plan(const struct ctl *ctl, const json_t *plan);
 void ctl_print_confirm(const struct ctl *ctl, const char *title,
--- a/src/ctl/main.c
+++ b/src/ctl/main.c
@@ -322,6 +322,11 @@
 		}
 		return (confirm(ctl, argv[1], ctl->base, change));
 	}
+	if (strcmp(command, "check") == 0) {
+		if (argc != 2)
+			return (usage("check needs one FILE"));
+		return (ctl_check(ctl, argv[1]));
+	}
 	if (argc != 1)
 		return (usage("too many arguments"));
 	if (strcmp(command, "intents") == 0)
@@ -353,6 +358,8 @@
 		    "Base version of the plan to confirm", "VERSION" },
 		{ "change", 0, 0, G_OPTION_ARG_STRING, &ctl->change,
 		    "Change of the plan to confirm", "JSON" },
+		{ "against", 0, 0, G_OPTION_ARG_STRING, &ctl->against,
+		    "Entry's metrics address, for check", "IP:PORT" },
 		{ "yes", 0, 0, G_OPTION_ARG_NONE, &ctl->yes,
 		    "Confirm the plan at once", NULL },
 		{ "json", 0, 0, G_OPTION_ARG_NONE, &ctl->json,
@@ -370,9 +377,11 @@
 	context = g_option_context_new("COMMAND [ARGUMENTS]");
 	g_option_context_set_summary(context,
 	    "Commands: intents, plan TYPE SUBJECT [VALUE], plan remove ID, "
-	    "confirm DIGEST,\naudit, status, drain worker|dc NAME, watch.\n"
+	    "confirm DIGEST,\naudit, status, drain worker|dc NAME, watch, "
+	    "check FILE.\n"
 	    "Exit codes: 0 done, 1 refused or conflict, 2 usage, "
-	    "3 unreachable.");
+	    "3 unreachable;\nof check: 0 nothing found, 1 warnings, "
+	    "2 errors, 3 unreachable.");
 	g_option_context_add_main_entries(context, options, NULL);
 	ok = g_option_context_parse(context, argc, argv, &error);
 	g_option_context_free(context);
@@ -386,12 +395,15 @@
  * Checks the options that all commands share.  Returns CTL_DONE or CTL_USAGE.
  */
 static int
-check_options(const struct ctl *ctl, int argc)
+check_options(const struct ctl *ctl, int argc, char **argv)
 {
+	bool check = argc >= 2 && strcmp(argv[1], "check") == 0;
 	const char *token;
 
-	if (argc < 2 || ctl->entries == NULL)
+	if (argc < 2 || (ctl->entries == NULL && !check))
 		return (usage("a command and --entry are needed"));
+	if (ctl->against != NULL && !check)
+		return (usage("--against is an option of check"));
 	if (ctl->tls_ca != NULL && ctl->tls == 0)
 		return (usage("--tls-ca needs --tls"));
 	if (ctl->tls_ca != NULL && access(ctl->tls_ca, R_OK) != 0)
@@ -419,7 +431,7 @@
 	(void)setvbuf(stdout, NULL, _IOLBF, 0);
 	if (!parse_options(&ctl, &argc, &argv))
 		return (CTL_USAGE);
-	code = check_options(&ctl, argc);
+	code = check_options(&ctl, argc, argv);
 	if (code == CTL_DONE)
 		code = run_command(&ctl, argc - 1, argv + 1);
 	g_strfreev(ctl.entries);
@@ -427,6 +439,7 @@
 	g_free(ctl.target);
 	g_free(ctl.reason);
 	g_free(ctl.change);
+	g_free(ctl.against);
 	g_free(ctl.tls_ca);
 	return (code);
 }
--- a/src/dispatch/dispatcher.c
+++ b/src/dispatch/dispatcher.c
@@ -230,6 +230,12 @@
 	return (mlk_routing_match(&d->routing, host, path) != NULL);
 }
 
+const struct mlk_routing *
+mlk_dispatcher_routing(const struct mlk_dispatcher *d)
+{
+	return (&d->routing);
+}
+
 const struct mlk_dispatch_counters *
 mlk_dispatch_counters(const struct mlk_dispatcher *d)
 {
--- a/test/test_site.c
+++ b/test/test_site.c
@@ -331,7 +331,7 @@
 	struct mlk_routing routing;
 	struct site_rows rows;
 	struct site_job job;
-	char why[64];
+	char why[SITE_WHY_MAX];
 	char *body;
 
 	(void)state;
@@ -700,7 +700,7 @@
 static bool
 parse_routing(struct mlk_routing *out, const char *text)
 {
-	char why[64];
+	char why[SITE_WHY_MAX];
 
 	return (
 	    site_routing_parse(out, (const guchar *)text, strlen(text), why));
