--- a/test/test_ideal.c
+++ b/test/test_ideal.c
@@ -222,6 +222,39 @@
 	mlk_ideal_day_free(day);
 }
 
+/*
+ * Guards against cores that are counted twice, and against a job that counts as
+ * ended before its longest task: a task of 300 ms beside one of 100 ms is late
+ * for a goal of 200 ms.
+ */
+static void
+test_cores(void **state)
+{
+	static const int64_t run[] = { 100 * MS },
+			     two[] = { 300 * MS, 100 * MS };
+	struct mlk_ideal_day *day = two_routes(WORKERS);
+	struct mlk_ideal_job jobs[3];
+	struct mlk_ideal_tally t;
+	uint32_t i;
+
+	(void)state;
+	/* A worker of one thousandth of a core, which ends one task first. */
+	day->workers[0].cores = 0.001;
+	for (i = 0; i < 3; i++) {
+		set_job(&jobs[i], 0, i == 0 ? 0 : 100, run, 1);
+		jobs[i].cores = 1;
+		jobs[i].goal = jobs[i].at + 150 * MS;
+	}
+	t = play(day, jobs, 3, MLK_IDEAL_ARRIVAL, MLK_IDEAL_FASTEST);
+	assert_true(t.in_goal == 2 && t.late == 1);
+	day->workers[0].cores = 2;
+	set_job(&jobs[0], 0, 0, two, 2);
+	jobs[0].goal = 200 * MS;
+	t = play(day, jobs, 1, MLK_IDEAL_ARRIVAL, MLK_IDEAL_FASTEST);
+	assert_true(t.in_goal == 0 && t.late == 1);
+	mlk_ideal_day_free(day);
+}
+
 /*
  * Guards against a placement that takes the fast worker for any task.  The
  * first task takes 240 ms on the slow worker and is in goal there; the second
@@ -260,6 +293,8 @@
 test_shares(void **state)
 {
 	static const int64_t run[] = { 100 * MS };
+	static const int64_t wide[] = { 100 * MS, 100 * MS, 100 * MS,
+		100 * MS };
 	struct mlk_ideal_day *day = two_routes(WORKERS);
 	struct mlk_ideal_job jobs[101];
 	struct mlk_ideal_jobs all = { .jobs = jobs, .n = 101 };
@@ -275,9 +310,12 @@
 	assert_int_equal(r->totals[1].in_goal, 1);
 	assert_int_equal(r->totals[1].refused, 97);
 	mlk_ideal_result_free(r);
-	/* Far enough apart that each finds the core free. */
-	for (i = 0; i < 101; i++)
-		set_job(&jobs[i], 1, 101 * i, run, 1);
+	/* Four tasks fit at once, but not one after the other at their rate. */
+	day->workers[0].cores = 4;
+	for (i = 0; i < 101; i++) {
+		set_job(&jobs[i], 1, 101 * i, wide, 4);
+		jobs[i].goal = jobs[i].at + 110 * MS;
+	}
 	r = mlk_ideal_run(day, &all, MLK_IDEAL_SHARES, MLK_IDEAL_FASTEST);
 	assert_int_equal(r->totals[1].in_goal, 101);
 	mlk_ideal_result_free(r);
@@ -350,6 +388,7 @@
 		cmocka_unit_test(test_too_many_jobs),
 		cmocka_unit_test(test_offered_work),
 		cmocka_unit_test(test_orders),
+		cmocka_unit_test(test_cores),
 		cmocka_unit_test(test_placement),
 		cmocka_unit_test(test_shares),
 		cmocka_unit_test(test_files),
--- a/test/test_site_config.c
+++ b/test/test_site_config.c
@@ -3,6 +3,7 @@
  * guard against findings that are missing, at the wrong place, or about a
  * configuration that entries use as it is.
  */
+#include <malloc.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -151,10 +152,11 @@
 static void
 test_nesting(void **state)
 {
-	enum { DEPTH = 2000, COPIES = 60 };
+	enum { DEPTH = 2000, COPIES = 60, HEAP_MAX = 64 * 1024 * 1024 };
 	GString *text = g_string_new("{\"version\":1,\"routes\":[],\"x\":[1");
 	struct site_findings *findings;
 	struct mlk_routing routing;
+	struct mallinfo2 heap;
 	int i, k;
 
 	(void)state;
@@ -168,6 +170,8 @@
 	}
 	g_string_append(text, "]}");
 	findings = check(text->str, &routing);
+	heap = mallinfo2();
+	assert_true(heap.uordblks + heap.hblkhd < HEAP_MAX);
 	assert_int_equal(site_findings_count(findings, SITE_ERROR), 0);
 	assert_int_equal(site_findings_count(findings, SITE_WARNING), 1);
 	mlk_routing_clear(&routing);
