dispatch: shares of high rates are computed in bounded time

shares_compute() took a queue for served when weight * level came within 1e-9 of its limit. From about 8e6 thousandths of a core on, the rounding error of limit / weight * weight is larger than that, the level no longer changed and the entry did not return from the computation. Three times the load of 3,000 cores is enough, and so is one report with high figures.

It now compares the quotients that the next level is taken from. test_shares covers 20,000 random cases with rates of up to 1e12; with the earlier code it does not end within 10 s. It also fails for a copy without usual demand, one without the floor, one that does not share out the rest and one with equal weights.

--- a/src/dispatch/shares.c
+++ b/src/dispatch/shares.c
@@ -18,7 +18,6 @@
  * lower, so that a new queue does not starve among others that use everything.
  */
 #define FLOOR_SHARE 0.25
-#define EPSILON 1e-9
 
 /*
  * Returns the weight of a queue by its priority, of which 0 is the highest.
@@ -31,8 +30,11 @@
 
 /*
  * Returns the level at which the capacity is used up when each queue gets
- * weight * level, at most its limit.  INFINITY: the
- * capacity covers all limits.
+ * weight * level, at most its limit.  INFINITY: the capacity covers all limits.
+ *
+ * Each round compares the same quotients that the next level is taken from, so
+ * that it ends whatever the rounding: a margin of error instead would be too
+ * small for some demand, as that of thousands of cores.
  */
 static double
 fill_level(const struct share_queue *queues, uint32_t n, double capacity)
@@ -45,8 +47,7 @@
 		wanted = 0;
 		next = INFINITY;
 		for (i = 0; i < n; i++) {
-			if (queues[i].limit <=
-			    queues[i].weight * level + EPSILON) {
+			if (queues[i].limit / queues[i].weight <= level) {
 				wanted += queues[i].limit;
 				continue;
 			}
@@ -92,6 +93,7 @@
 	double weights = 0, floor;
 	uint32_t i;
 
+	capacity = fmax(capacity, 0);
 	for (i = 0; i < n; i++)
 		weights += queues[i].weight;
 	for (i = 0; i < n; i++) {
@@ -100,7 +102,7 @@
 		queues[i].limit =
 		    fmin(queues[i].demand, fmax(queues[i].usual, floor));
 	}
-	capacity = fill(queues, n, fmax(capacity, 0));
+	capacity = fill(queues, n, capacity);
 	for (i = 0; i < n; i++)
 		queues[i].limit = queues[i].demand - queues[i].share;
 	(void)fill(queues, n, capacity);
