dispatch: a queue that has become empty reports no waiting work

The work that waits was the sum of what was added and taken off, so that an empty queue could keep a rounding error and its route stayed among those with demand. The tasks are counted too, and at the last one the sum is set to 0.

--- a/src/dispatch/demand.c
+++ b/src/dispatch/demand.c
@@ -52,6 +52,7 @@
 	double admitted;
 	double reported; /* `offered` in the last report */
 	double queued; /* work */
+	uint32_t nqueued; /* tasks in `queued` */
 	double usual; /* of the total of all entries */
 	uint32_t nruns; /* in the means below */
 	double ran; /* mean work of a run */
@@ -108,8 +109,8 @@
 
 	(void)key;
 	(void)data;
-	return (
-	    r->offered < IDLE_RATE && r->window_offered <= 0 && r->queued <= 0);
+	return (r->offered < IDLE_RATE && r->window_offered <= 0 &&
+	    r->nqueued == 0);
 }
 
 static struct route *
@@ -142,14 +143,30 @@
 }
 
 /*
- * Changes the work that waits; `work` is below 0 when it leaves the queue.
+ * Adds the work of a task that waits.
  */
 void
 demand_queued(struct demand *d, const char *route, double work)
 {
 	struct route *r = route_get(d, route);
 
-	r->queued = MAX(r->queued + work, 0);
+	r->nqueued++;
+	r->queued += work;
+}
+
+/*
+ * Removes the work of a task that was queued.
+ */
+void
+demand_dequeued(struct demand *d, const char *route, double work)
+{
+	struct route *r = route_get(d, route);
+
+	if (r->nqueued == 0)
+		return;
+	r->nqueued--;
+	/* An empty queue must not keep a rounding error. */
+	r->queued = r->nqueued == 0 ? 0 : MAX(r->queued - work, 0);
 }
 
 /*
@@ -332,7 +349,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		r = value;
 		r->reported = r->offered;
-		if (r->offered >= IDLE_RATE || r->queued > 0)
+		if (r->offered >= IDLE_RATE || r->nqueued > 0)
 			g_ptr_array_add(busy, r);
 	}
 	g_ptr_array_sort(busy, by_offered);
--- a/src/dispatch/demand.h
+++ b/src/dispatch/demand.h
@@ -29,6 +29,7 @@
 void demand_arrived(
     struct demand *demand, const char *route, double work, bool admitted);
 void demand_queued(struct demand *demand, const char *route, double work);
+void demand_dequeued(struct demand *demand, const char *route, double work);
 void demand_ran(struct demand *demand, const char *route, double expected_work,
     double work);
 double demand_bias(const struct demand *demand, const char *route);
--- a/src/dispatch/dispatcher_queue.c
+++ b/src/dispatch/dispatcher_queue.c
@@ -61,7 +61,7 @@
 	/* An empty queue must not keep a rounding error. */
 	d->queued_work = d->nqueued == 0 ? 0 : d->queued_work - task->work;
 	if (d->demand != NULL)
-		demand_queued(d->demand, job->route, -task->work);
+		demand_dequeued(d->demand, job->route, task->work);
 	if (job->nqueued == 0) {
 		g_sequence_remove(job->queue_iter);
 		job->queue_iter = NULL;
