dispatch: reports of a restarted entry count whatever its clock

A report with a lower incarnation than the last one was ignored for good, also when the last one no longer counted. Incarnations are times of the system clock, so that the demand of an entry on a machine whose clock was set back was missing until every other entry had restarted. Records that no longer count are now removed when a report arrives.

test_demand covers rates, usual rates, bias, reports and their expiry; two of its tests failed before.

--- a/src/dispatch/demand.c
+++ b/src/dispatch/demand.c
@@ -370,19 +370,26 @@
 	d->changed = false;
 }
 
+/*
+ * Returns the record of a peer, or NULL when there are too many.  Records that
+ * no longer count are removed, that of this peer too: a machine whose clock
+ * was set back starts its entry with a lower incarnation.
+ */
 static struct peer_report *
 peer_get(struct demand *d, const char *id)
 {
-	struct peer_report *p;
+	struct peer_report *p, *found = NULL;
 	guint i;
 
 	for (i = d->peers->len; i > 0; i--) {
 		p = g_ptr_array_index(d->peers, i - 1);
-		if (strcmp(p->id, id) == 0)
-			return (p);
 		if (!is_current(d, p))
 			(void)g_ptr_array_remove_index_fast(d->peers, i - 1);
+		else if (strcmp(p->id, id) == 0)
+			found = p;
 	}
+	if (found != NULL)
+		return (found);
 	if (d->peers->len >= PEERS_MAX)
 		return (NULL);
 	p = g_new0(struct peer_report, 1);
@@ -393,7 +400,7 @@
 
 /*
  * Handles the report of a peer.  One that was sent before the last one applied
- * is ignored.
+ * is ignored while that one counts.
  */
 void
 demand_apply(
