--- a/src/dispatch/demand.c
+++ b/src/dispatch/demand.c
@@ -43,6 +43,7 @@
 	     */
 #define BIAS_MIN 0.25
 #define IDLE_RATE 1.0 /* thousandths of a core; below it a route is idle */
+#define QUEUED_MAX 1e18 /* in a report; fits an integer of 64 bits */
 
 struct route {
 	char name[MLK_NAME_MAX];
@@ -363,7 +364,7 @@
 		(void)g_strlcpy(item->route, r->name, sizeof(item->route));
 		item->offered = (uint32_t)MIN(r->offered, (double)UINT32_MAX);
 		item->admitted = (uint32_t)MIN(r->admitted, (double)UINT32_MAX);
-		item->queued = (uint64_t)r->queued;
+		item->queued = (uint64_t)MIN(r->queued, QUEUED_MAX);
 	}
 	(void)g_ptr_array_free(busy, TRUE);
 	d->reported_at = now;
