dispatch: no reports of demand while no jobs arrive

Entries went on sending empty reports, every 250 ms to each peer, once they had seen any route. The last report now says that there is no demand, and the next one is sent when there is some.

--- a/src/dispatch/demand.c
+++ b/src/dispatch/demand.c
@@ -78,6 +78,7 @@
 	int64_t interval; /* of the reports */
 	int64_t reported_at;
 	bool changed; /* a rate has changed so much that it is reported early */
+	bool active; /* a route has demand, or had at the last report */
 };
 
 struct demand *
@@ -289,6 +290,7 @@
 	if (span < WINDOW_NS)
 		return;
 	keep = exp(-(double)span / (double)RATE_NS);
+	d->active = false;
 	g_hash_table_iter_init(&iter, d->routes);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		r = value;
@@ -299,6 +301,8 @@
 		r->window_offered = 0;
 		r->window_admitted = 0;
 		update_usual(d, r, span);
+		d->active |= r->nqueued > 0 ||
+		    MAX(r->offered, r->reported) >= IDLE_RATE;
 		if (fabs(r->offered - r->reported) >
 		    REPORT_CHANGE * MAX(r->reported, IDLE_RATE))
 			d->changed = true;
@@ -307,14 +311,15 @@
 }
 
 /*
- * Tells whether to report to the peers now.
+ * Tells whether to report to the peers now.  Without any demand, the last
+ * report says so and no other follows.
  */
 bool
 demand_report_due(const struct demand *d, uint32_t peers, int64_t now)
 {
 	int64_t since = now - d->reported_at, interval;
 
-	if (peers == 0 || g_hash_table_size(d->routes) == 0)
+	if (peers == 0 || !d->active)
 		return (false);
 	interval = MAX(REPORT_NS, REPORT_PER_PEER_NS * (int64_t)peers);
 	if (d->changed && since >= MAX(REPORT_EARLY_NS, interval / 3))
