dispatch: the table of demand by route is bounded

Above 4,096 routes with demand the table went on growing, with names that may come from any peer. Further routes are now not counted, and idle ones are looked for once a window instead of at every new name.

--- a/src/dispatch/demand.c
+++ b/src/dispatch/demand.c
@@ -34,13 +34,15 @@
 #define REPORT_CHANGE 0.3
 #define REPORT_EARLY_NS (100 * MS)
 #define REPORT_EXPIRES 4 /* intervals */
-#define ROUTES_MAX 4096U /* at this number, the idle ones are removed */
+/*
+ * Names of routes come from peers too.  At this number the idle ones are
+ * removed, at most once a window; further routes are not counted.
+ */
+#define ROUTES_MAX 4096U
 #define PEERS_MAX 1024U
 #define BIAS_RUNS 256U /* runs after which older ones decay exponentially */
 #define BIAS_MIN_RUNS 8U
-#define BIAS_MAX                                                    \
-	4.0 /* a higher factor is taken for a fault of some workers \
-	     */
+#define BIAS_MAX 4.0 /* a higher factor is taken for a fault of workers */
 #define BIAS_MIN 0.25
 #define IDLE_RATE 1.0 /* thousandths of a core; below it a route is idle */
 #define QUEUED_MAX 1e18 /* in a report; fits an integer of 64 bits */
@@ -77,6 +79,7 @@
 	int64_t window_start;
 	int64_t interval; /* of the reports */
 	int64_t reported_at;
+	int64_t evicted_at; /* window_start when idle routes were last removed */
 	bool changed; /* a rate has changed so much that it is reported early */
 	bool active; /* a route has demand, or had at the last report */
 };
@@ -115,6 +118,9 @@
 	    r->nqueued == 0);
 }
 
+/*
+ * Returns the record of a route, or NULL when there are too many.
+ */
 static struct route *
 route_get(struct demand *d, const char *name)
 {
@@ -123,8 +129,13 @@
 	r = g_hash_table_lookup(d->routes, name);
 	if (r != NULL)
 		return (r);
-	if (g_hash_table_size(d->routes) >= ROUTES_MAX)
+	if (g_hash_table_size(d->routes) >= ROUTES_MAX &&
+	    d->evicted_at != d->window_start) {
 		(void)g_hash_table_foreach_remove(d->routes, is_idle, NULL);
+		d->evicted_at = d->window_start;
+	}
+	if (g_hash_table_size(d->routes) >= ROUTES_MAX)
+		return (NULL);
 	r = g_new0(struct route, 1);
 	(void)g_strlcpy(r->name, name, sizeof(r->name));
 	(void)g_hash_table_insert(d->routes, r->name, r);
@@ -139,6 +150,8 @@
 {
 	struct route *r = route_get(d, route);
 
+	if (r == NULL)
+		return;
 	r->window_offered += work;
 	if (admitted)
 		r->window_admitted += work;
@@ -152,6 +165,8 @@
 {
 	struct route *r = route_get(d, route);
 
+	if (r == NULL)
+		return;
 	r->nqueued++;
 	r->queued += work;
 }
@@ -162,9 +177,9 @@
 void
 demand_dequeued(struct demand *d, const char *route, double work)
 {
-	struct route *r = route_get(d, route);
+	struct route *r = g_hash_table_lookup(d->routes, route);
 
-	if (r->nqueued == 0)
+	if (r == NULL || r->nqueued == 0)
 		return;
 	r->nqueued--;
 	/* An empty queue must not keep a rounding error. */
@@ -183,6 +198,8 @@
 	struct route *r;
 
 	r = route_get(d, route);
+	if (r == NULL)
+		return;
 	if (r->nruns < BIAS_RUNS)
 		r->nruns++;
 	r->ran += (work - r->ran) / r->nruns;
