--- a/src/dispatch/demand.c
+++ b/src/dispatch/demand.c
@@ -79,7 +79,8 @@
 	int64_t window_start;
 	int64_t interval; /* of the reports */
 	int64_t reported_at;
-	int64_t evicted_at; /* window_start when idle routes were last removed */
+	int64_t
+	    evicted_at; /* window_start when idle routes were last removed */
 	bool changed; /* a rate has changed so much that it is reported early */
 	bool active; /* a route has demand, or had at the last report */
 };
@@ -318,8 +319,8 @@
 		r->window_offered = 0;
 		r->window_admitted = 0;
 		update_usual(d, r, span);
-		d->active |= r->nqueued > 0 ||
-		    MAX(r->offered, r->reported) >= IDLE_RATE;
+		d->active |=
+		    r->nqueued > 0 || MAX(r->offered, r->reported) >= IDLE_RATE;
 		if (fabs(r->offered - r->reported) >
 		    REPORT_CHANGE * MAX(r->reported, IDLE_RATE))
 			d->changed = true;
--- a/src/dispatch/dispatcher_links.c
+++ b/src/dispatch/dispatcher_links.c
@@ -397,6 +397,9 @@
 		dispatch_routes(d, &msg->u.routes);
 		break;
 	case MLK_MSG_DEMAND:
+		/* An entry that knows itself under two addresses. */
+		if (strcmp(msg->u.demand.id, d->options.self.id) == 0)
+			break;
 		if (d->demand != NULL)
 			demand_apply(d->demand, &msg->u.demand, d->now);
 		break;
--- a/test/test_demand.c
+++ b/test/test_demand.c
@@ -374,7 +374,8 @@
 	assert_int_equal(reports_sent(f, 10000, 3, 0), 0);
 }
 
-/* Guards against a step of the load that peers learn of only an interval late. */
+/* Guards against a step of the load that peers learn of only an interval late.
+ */
 static void
 test_early_report(void **state)
 {
