dispatch: whether a job fits now is decided by all its steps and by its pool

Only the first step was counted, so that a job whose first step is small counted as one for which all resources are free; and a job that waited for another pool made every job count as one for which none are, which is refused by its share although resources are free.

--- a/src/dispatch/dispatcher_place.c
+++ b/src/dispatch/dispatcher_place.c
@@ -161,28 +161,63 @@
 }
 
 /*
- * Tells whether resources for all tasks of a job's first steps are free and no
- * earlier job waits for them here.
+ * Tells whether a job of the pool is in the queue of this entry.
+ */
+static bool
+is_pool_queued(const struct mlk_dispatcher *d, const char *pool)
+{
+	const struct job *job;
+	GSequenceIter *iter;
+
+	iter = g_sequence_get_begin_iter(d->queue);
+	for (; !g_sequence_iter_is_end(iter);
+	     iter = g_sequence_iter_next(iter)) {
+		job = g_sequence_get(iter);
+		if (strcmp(job->pool, pool) == 0)
+			return (true);
+	}
+	return (false);
+}
+
+/*
+ * Takes the tasks that fit on a worker with *free off the numbers of tasks by
+ * step.  Returns how many there are.
+ */
+static uint32_t
+fit_tasks(struct mlk_resources free, const struct job *job, uint32_t *left)
+{
+	uint32_t step, n, i, taken = 0;
+
+	for (step = 0; step < job->nsteps; step++) {
+		n = mlk_resources_count(
+		    &free, &job->steps[step].resources, left[step]);
+		for (i = 0; i < n; i++)
+			mlk_resources_subtract(
+			    &free, &job->steps[step].resources);
+		left[step] -= n;
+		taken += n;
+	}
+	return (taken);
+}
+
+/*
+ * Tells whether resources for all tasks of a job are free at once and no
+ * earlier job of its pool waits for them here.
  */
 bool
 dispatch_fits_now(const struct mlk_dispatcher *d, const struct job *job)
 {
-	const struct mlk_step *step = &job->steps[0];
-	struct mlk_resources free;
+	uint32_t left[MLK_STEPS_MAX], n = job->ntasks, i;
 	const struct agent *a;
-	uint32_t left = step->count;
-	guint i;
 
-	if (d->nqueued > 0)
-		return (false);
-	for (i = 0; i < d->agents->len && left > 0; i++) {
+	for (i = 0; i < job->nsteps; i++)
+		left[i] = job->steps[i].count;
+	for (i = 0; i < d->agents->len && n > 0; i++) {
 		a = g_ptr_array_index(d->agents, i);
-		if (!dispatch_agent_usable(d, a, job->pool))
-			continue;
-		free = dispatch_agent_available(a);
-		left -= mlk_resources_count(&free, &step->resources, left);
+		if (dispatch_agent_usable(d, a, job->pool))
+			n -= fit_tasks(dispatch_agent_available(a), job, left);
 	}
-	return (left == 0);
+	return (n == 0 && !is_pool_queued(d, job->pool));
 }
 
 static uint32_t
