dispatch: the last log line on a pool says whether it is short

A change less than 1 s after the last logged one was never logged, so that the log could end with "short of capacity" for a pool that has enough. It is now logged when the second is over.

--- a/src/dispatch/dispatcher_admit.c
+++ b/src/dispatch/dispatcher_admit.c
@@ -59,6 +59,7 @@
 	int64_t age; /* of the oldest peer report in it */
 	uint32_t entries; /* that it is made from */
 	bool is_short;
+	bool logged_short; /* as the last log line says */
 	int64_t logged_at;
 };
 
@@ -235,11 +236,11 @@
 static void
 log_short(struct mlk_dispatcher *d, struct admission_pool *p, bool is_short)
 {
-	if (p->is_short == is_short)
-		return;
 	p->is_short = is_short;
-	if (d->now - p->logged_at < SHORT_LOG_NS && p->logged_at != 0)
+	if (p->logged_short == is_short ||
+	    (d->now - p->logged_at < SHORT_LOG_NS && p->logged_at != 0))
 		return;
+	p->logged_short = is_short;
 	p->logged_at = d->now;
 	dispatch_log(d, MLK_LOG_NOTICE, NULL, NULL,
 	    "pool %s %s: %.1f of %.1f cores offered, %.1f free, %.0f ms of "
