--- a/src/dispatch/dispatcher_admit.c
+++ b/src/dispatch/dispatcher_admit.c
@@ -345,9 +345,12 @@
     const struct admission_pool *p, const char *cause, double work)
 {
 	uint32_t retry_ms;
+	double rate;
 
-	retry_ms = dispatch_retry_after_share_ms(
-	    d, work, MAX(r->share, p->capacity / 100), &r->next_retry_at);
+	/* Every entry spreads the callers that it refuses. */
+	rate = MAX(r->share, p->capacity / 100) / p->entries;
+	retry_ms =
+	    dispatch_retry_after_share_ms(d, work, rate, &r->next_retry_at);
 	dispatch_log(d, MLK_LOG_INFO, job, NULL,
 	    "refused: %s; queue %.1f cores offered, share %.1f; pool %.1f of "
 	    "%.1f free, %" PRId64 " ms of work ahead, %u entries, reports "
