dispatch: the expected work of a task is bounded by its job's deadline

A caller's estimate of hours, or a wrong one of a single job, counted in full as work ahead: the open capacity fell to 0 and every job of the pool that did not fit at once was refused while that job waited. No run outlives its job.

--- a/src/dispatch/dispatcher_drain.c
+++ b/src/dispatch/dispatcher_drain.c
@@ -17,17 +17,20 @@
 
 /*
  * Returns the expected work of one task of a step, in millicore-milliseconds.
+ * No run lasts longer than its job's deadline: a single estimate of hours would
+ * else count as work ahead that makes every other job be refused.
  */
 double
 dispatch_task_work(
     struct mlk_dispatcher *d, const struct job *job, uint32_t step)
 {
-	double work = (double)job->steps[step].resources.cpu *
-	    MAX(dispatch_runtime_ms(d, job, step), 1);
+	double run_ms = MAX(dispatch_runtime_ms(d, job, step), 1);
 
 	if (d->demand != NULL)
-		work *= demand_bias(d->demand, job->route);
-	return (work);
+		run_ms *= demand_bias(d->demand, job->route);
+	run_ms =
+	    MIN(run_ms, MAX(job->deadline - job->arrived, MS) / (double)MS);
+	return (run_ms * job->steps[step].resources.cpu);
 }
 
 /*
