--- a/src/dispatch/dispatcher_admit.c
+++ b/src/dispatch/dispatcher_admit.c
@@ -143,6 +143,7 @@
 		return (p);
 	p = g_new0(struct admission_pool, 1);
 	(void)g_strlcpy(p->name, name, sizeof(p->name));
+	p->entries = 1;
 	(void)g_hash_table_insert(adm->pools, p->name, p);
 	return (p);
 }
--- a/src/dispatch/dispatcher_jobs.c
+++ b/src/dispatch/dispatcher_jobs.c
@@ -201,11 +201,15 @@
 task_done(struct mlk_dispatcher *d, struct task *task, uint32_t run_ms)
 {
 	struct job *job = task->job;
+	double cpu;
 
 	dispatch_runtime_record(d, job, task->step, run_ms);
-	if (d->demand != NULL && run_ms > 0)
+	if (d->demand != NULL && run_ms > 0) {
+		cpu = job->steps[task->step].resources.cpu;
 		demand_ran(d->demand, job->route,
-		    dispatch_runtime_ms(d, job, task->step), run_ms);
+		    cpu * dispatch_runtime_ms(d, job, task->step),
+		    cpu * run_ms);
+	}
 	task->state = TASK_DONE;
 	job->left[task->step]--;
 	job->nleft--;
