--- a/src/dispatch/demand.c
+++ b/src/dispatch/demand.c
@@ -25,8 +25,8 @@
  */
 #define USUAL_NS (30000 * MS)
 /*
- * Interval of the reports to peers: their number per second and entry stays
- * below 40, whatever the number of peers.
+ * Interval of the reports to peers: an entry sends 40 a second or fewer,
+ * whatever the number of peers; early ones come on top.
  */
 #define REPORT_NS (250 * MS)
 #define REPORT_PER_PEER_NS (25 * MS)
