--- a/test/dispatch_bench.c
+++ b/test/dispatch_bench.c
@@ -17,6 +17,13 @@
 
 void
 bench_init(struct dispatch_bench *b)
+{
+	bench_init_admission(b, MLK_ADMISSION_OFF);
+}
+
+void
+bench_init_admission(
+    struct dispatch_bench *b, enum mlk_admission_mode admission)
 {
 	struct mlk_dispatcher_options options;
 
@@ -29,6 +36,7 @@
 	strcpy(options.self.addr, "10.0.0.1:7000");
 	options.self.incarnation = 1;
 	options.seed = 7;
+	options.admission = admission;
 	b->d = mlk_dispatcher_create(&options);
 	assert_non_null(b->d);
 }
--- a/test/dispatch_bench.h
+++ b/test/dispatch_bench.h
@@ -46,6 +46,8 @@
 };
 
 void bench_init(struct dispatch_bench *b);
+void bench_init_admission(
+    struct dispatch_bench *b, enum mlk_admission_mode admission);
 void bench_free(struct dispatch_bench *b);
 void bench_apply(struct dispatch_bench *b, struct mlk_dispatch_event *ev);
 /* Advances the time by `ms`, with a tick every 20 ms; ends early on EXIT. */
--- a/test/test_dispatcher.c
+++ b/test/test_dispatcher.c
@@ -9,6 +9,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 
 #include <cmocka.h>
 #include <glib.h>
@@ -503,6 +504,86 @@
 	    bench_sent(b, &agents[7], MLK_MSG_RUN, 0)->u.run.id, "job-0");
 }
 
+/* Sanitizers slow code down by up to ten times. */
+#ifdef __SANITIZE_ADDRESS__
+#define DECISION_MAX_US 500
+#else
+#define DECISION_MAX_US 50 /* docs/design/hard-load.md, section 3 */
+#endif
+
+static double
+cpu_us(void)
+{
+	struct timespec ts;
+
+	assert_int_equal(clock_gettime(CLOCK_THREAD_CPUTIME_ID, &ts), 0);
+	return ((double)ts.tv_sec * 1e6 + (double)ts.tv_nsec / 1e3);
+}
+
+/*
+ * Returns the processor time of a decision with a backlog of 1,000 jobs: an
+ * arriving job or a worker's report, and a tick for every 20 of them.
+ */
+static double
+decision_us(enum mlk_admission_mode mode)
+{
+	struct dispatch_bench *b = calloc(1, sizeof(*b));
+	struct mlk_dispatch_gauges gauges;
+	struct bench_agent agents[50];
+	char name[16];
+	double start;
+	uint32_t i;
+
+	assert_non_null(b);
+	bench_init_admission(b, mode);
+	bench_set_routes(b, 1, 2);
+	for (i = 0; i < 50; i++) {
+		(void)snprintf(name, sizeof(name), "agent-%u", i);
+		bench_attach(b, &agents[i], name, "dc-a", CPU);
+		agents[i].free.cpu = 4000;
+		bench_report_worker(b, &agents[i], MLK_WORKER_READY);
+	}
+	/* Long tasks have a late goal, so that the jobs stay in the queue. */
+	bench_set_estimate(b, 10000);
+	for (i = 0; i < 1000; i++) {
+		(void)snprintf(name, sizeof(name), "job-%u", i);
+		(void)bench_submit(b, name, 2, 6000, 60000);
+	}
+	bench_advance(b, 20);
+	start = cpu_us();
+	for (i = 0; i < 500; i++) {
+		(void)snprintf(name, sizeof(name), "new-%u", i);
+		(void)bench_submit(b, name, 2, 6000, 60000);
+		bench_report_worker(b, &agents[i % 50], MLK_WORKER_READY);
+		if (i % 10 == 9)
+			bench_advance(b, 20);
+	}
+	start = cpu_us() - start;
+	mlk_dispatch_gauges(b->d, &gauges);
+	assert_in_range(gauges.queued, 2000, 3000);
+	bench_free(b);
+	free(b);
+	return (start / 1000);
+}
+
+/*
+ * Guards against a decision whose cost grows with the backlog: the smallest
+ * entry has a tenth of a core.
+ */
+static void
+test_decision_time_with_backlog(void **state)
+{
+	double off, shares;
+
+	(void)state;
+	off = decision_us(MLK_ADMISSION_OFF);
+	shares = decision_us(MLK_ADMISSION_SHARES);
+	print_message(
+	    "a decision takes %.1f us, with shares %.1f us\n", off, shares);
+	assert_true(off <= DECISION_MAX_US);
+	assert_true(shares <= DECISION_MAX_US);
+}
+
 /*
  * Guards against a backlog that makes every job late: under overload, a job
  * that can no longer meet its target response time yields to one that still
@@ -819,6 +900,7 @@
 		TEST(test_unneeded_offer_is_declined),
 		TEST(test_offers_keep_link_alive),
 		TEST(test_report_cost_with_backlog),
+		cmocka_unit_test(test_decision_time_with_backlog),
 		TEST(test_late_job_yields),
 		TEST(test_nearly_done_job_is_finished),
 		TEST(test_long_waiting_job_is_refused),
