test: queues, links between entries and admission in the simulated world

Entries of the world had no links with each other, one route and one arrival process. It now has links and messages between entries, queues with priorities, widths, run times, surges and waves, entries with unequal parts of the traffic, the mode of admission and figures by queue.

--- a/test/dispatch_world.c
+++ b/test/dispatch_world.c
@@ -1,4 +1,5 @@
 #include <inttypes.h>
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -18,6 +19,9 @@
 #define TASKS_MAX 12
 #define TARGET_MS 60
 #define STRETCH 1600 /* of a route, thousandths of the run time */
+#define ROUTE_DEADLINE_MS 1500 /* of the jobs of routes */
+#define ESTIMATE_ERROR 40 /* percent, of their callers' estimates */
+#define USEFUL_GOALS 3 /* a later answer is of no use */
 /* Enough for three attempts of the longest deadline. */
 #define SETTLE_MS 200000
 #define SETTLE_STEP_MS 2000
@@ -41,6 +45,7 @@
 	EV_LEAVE, /* a caller disconnects before the deadline */
 	EV_MSG,
 	EV_CONNECT, /* an agent's connection attempt completes or fails */
+	EV_CONNECT_PEER, /* the same of an entry, to another entry */
 	EV_LINK_DOWN, /* one end of a link learns that the other closed it */
 	EV_ORDER, /* an order reaches the worker */
 	EV_LIST_DUE, /* a waiting list order is answered */
@@ -55,11 +60,16 @@
 	EV_ARRIVAL, /* a new job */
 };
 
-/* One link between an entry and an agent.  Both ends use the same handle. */
+/*
+ * One link between an entry and an agent, or between two entries, of which the
+ * one that connected takes the place of the agent.  Both ends use the same
+ * handle.
+ */
 struct world_link {
 	uint32_t id;
+	bool peers; /* between two entries */
 	uint32_t entry;
-	uint32_t agent;
+	uint32_t agent; /* index of an entry if `peers` is set */
 	uint64_t entry_generation;
 	uint64_t agent_generation;
 	bool open[2]; /* state at the entry [0] and at the agent [1] */
@@ -102,6 +112,13 @@
 	uint32_t rejected; /* attempts that were refused */
 	uint32_t refusal_retries; /* attempts sent after a refusal */
 	bool open; /* an attempt is in flight */
+	int64_t attempt_at; /* time of the last attempt */
+	uint32_t route; /* 0 without routes */
+	uint32_t refusals_early; /* within a quarter of the goal */
+	uint32_t untried; /* attempts whose deadline passed before a run */
+	bool entry_lost; /* an attempt went to an entry that was down or was
+			    killed */
+	int64_t completed_at; /* 0: not completed */
 	uint32_t entry; /* of that attempt */
 	uint64_t request;
 	bool started; /* a run of it was started at a worker */
@@ -283,19 +300,46 @@
 	mlk_runner_effects_free(&fx);
 }
 
+/*
+ * Fills a routing table: one route for all paths, or those of the options.
+ */
 static void
-start_entry(struct world *w, uint32_t i)
+fill_routes(const struct world *w, struct mlk_routing *routing)
 {
-	struct mlk_dispatch_event ev = { .type = MLK_DISPATCH_ROUTES };
-	struct mlk_route route = { .timeout_ms = 1500,
+	const struct mlk_route base = { .host = "h",
+		.prefix = "/",
+		.name = "r",
+		.pool = "pool-a",
+		.timeout_ms = 1500,
 		.target_ms = TARGET_MS,
 		.attempts = 3,
 		.stretch = STRETCH };
-	struct mlk_routing routing = {
-		.version = 1, .nroutes = 1, .routes = &route
-	};
+	struct mlk_route *r;
+	uint32_t i;
+
+	routing->version = 1;
+	routing->nroutes = w->options.nroutes == 0 ? 1 : w->options.nroutes;
+	for (i = 0; i < routing->nroutes; i++) {
+		r = &routing->routes[i];
+		*r = base;
+		if (w->options.nroutes == 0)
+			continue;
+		(void)snprintf(r->prefix, sizeof(r->prefix), "/%u/", i);
+		(void)snprintf(r->name, sizeof(r->name), "route-%u", i);
+		r->priority = w->options.routes[i].priority;
+	}
+}
+
+static void
+start_entry(struct world *w, uint32_t i)
+{
+	struct mlk_dispatch_event ev = { .type = MLK_DISPATCH_ROUTES };
+	struct mlk_route routes[WORLD_ROUTES_MAX];
+	struct mlk_routing routing = { .routes = routes };
+	char addrs[WORLD_ENTRIES_MAX][MLK_ADDR_MAX];
 	struct world_entry *e = &w->entries[i];
 	struct mlk_dispatcher_options options;
+	uint32_t k;
 
 	mlk_dispatcher_options_default(&options);
 	(void)snprintf(options.self.id, sizeof(options.self.id), "entry-%u", i);
@@ -305,14 +349,17 @@
 	    options.self.addr, sizeof(options.self.addr), "%s", e->addr);
 	options.self.incarnation = ++w->last_generation;
 	options.seed = mlk_rng_next(&w->rng);
+	options.admission = w->options.admission;
+	for (k = 0; k < w->options.entries; k++)
+		(void)snprintf(
+		    addrs[k], sizeof(addrs[k]), "10.0.0.%u:7000", k + 1);
+	options.nentries = w->options.link_entries ? w->options.entries : 0;
+	options.entries = addrs;
 	e->generation = w->last_generation;
 	e->up = true;
 	e->paused_until = 0;
 	e->d = mlk_dispatcher_create(&options);
-	strcpy(route.host, "h");
-	strcpy(route.prefix, "/");
-	strcpy(route.name, "r");
-	strcpy(route.pool, "pool-a");
+	fill_routes(w, &routing);
 	ev.u.routes = &routing;
 	apply_entry(w, i, &ev);
 	push(w, w->now + 1 + below(w, TICK_MS), EV_TICK_ENTRY, i)->generation =
@@ -385,7 +432,8 @@
 static bool
 is_cut(const struct world *w, const struct world_link *l, bool to_agent)
 {
-	return (w->now < w->cut_until[l->entry][l->agent][to_agent]);
+	return (
+	    !l->peers && w->now < w->cut_until[l->entry][l->agent][to_agent]);
 }
 
 /*
@@ -447,19 +495,80 @@
 close_process_links(struct world *w, uint32_t index, bool agent, bool silent)
 {
 	struct world_link *l;
-	guint i;
+	guint i, end;
 
 	for (i = 0; i < w->links->len; i++) {
 		l = g_ptr_array_index(w->links, i);
-		if ((agent ? l->agent : l->entry) != index || !l->open[agent])
-			continue;
-		if (silent)
-			l->open[agent] = false;
-		else
-			link_close(w, l, agent);
+		for (end = 0; end < 2; end++) {
+			/* Only links between entries end at entries twice. */
+			if ((end == 1 ? l->agent : l->entry) != index ||
+			    (end == 1 && !l->peers) != agent || !l->open[end])
+				continue;
+			if (silent)
+				l->open[end] = false;
+			else
+				link_close(w, l, end == 1);
+		}
 	}
 }
 
+/*
+ * Returns the entry at one end of a link.
+ */
+static uint32_t
+entry_at(const struct world_link *l, bool initiator)
+{
+	return (initiator ? l->agent : l->entry);
+}
+
+/*
+ * Adds an open link.
+ */
+static struct world_link *
+link_create(struct world *w, uint32_t entry, uint32_t agent, bool peers)
+{
+	struct world_link *l;
+
+	l = g_new0(struct world_link, 1);
+	g_ptr_array_add(w->links, l);
+	l->id = w->links->len;
+	l->peers = peers;
+	l->entry = entry;
+	l->agent = agent;
+	l->entry_generation = w->entries[entry].generation;
+	l->agent_generation =
+	    peers ? w->entries[agent].generation : w->agents[agent].generation;
+	l->open[0] = true;
+	l->open[1] = true;
+	return (l);
+}
+
+/*
+ * Completes an entry's connection attempt to another entry.
+ */
+static void
+on_connect_peer(struct world *w, const struct event *ev)
+{
+	struct mlk_dispatch_event up = { .type = MLK_DISPATCH_LINK_UP };
+	struct mlk_dispatch_event down = { .type = MLK_DISPATCH_LINK_DOWN };
+	const struct world_entry *e = &w->entries[ev->index];
+	uint32_t i = (uint32_t)ev->request;
+	struct world_link *l;
+
+	if (!e->up || e->generation != ev->generation)
+		return;
+	if (!w->entries[i].up) {
+		down.u.link.connect = ev->connect;
+		apply_entry(w, ev->index, &down);
+		return;
+	}
+	l = link_create(w, i, ev->index, true);
+	up.u.link.link = l->id;
+	apply_entry(w, i, &up);
+	up.u.link.connect = ev->connect;
+	apply_entry(w, ev->index, &up);
+}
+
 /*
  * Completes an agent's connection attempt: a new link, or a failure if the
  * entry is down or cut off.
@@ -482,15 +591,7 @@
 		apply_agent(w, ev->index, &rev);
 		return;
 	}
-	l = g_new0(struct world_link, 1);
-	g_ptr_array_add(w->links, l);
-	l->id = w->links->len;
-	l->entry = i;
-	l->agent = ev->index;
-	l->entry_generation = w->entries[i].generation;
-	l->agent_generation = a->generation;
-	l->open[0] = true;
-	l->open[1] = true;
+	l = link_create(w, i, ev->index, false);
 	up.u.link.link = l->id;
 	apply_entry(w, i, &up);
 	rev.u.link.link = l->id;
@@ -507,14 +608,14 @@
 
 	if (!l->open[ev->to_agent])
 		return;
-	if (ev->to_agent) {
+	if (ev->to_agent && !l->peers) {
 		rev.u.msg.link = l->id;
 		rev.u.msg.msg = &ev->msg;
 		apply_agent(w, l->agent, &rev);
 	} else {
 		dev.u.msg.link = l->id;
 		dev.u.msg.msg = &ev->msg;
-		apply_entry(w, l->entry, &dev);
+		apply_entry(w, entry_at(l, ev->to_agent), &dev);
 	}
 }
 
@@ -528,12 +629,12 @@
 	if (!l->open[ev->to_agent])
 		return;
 	l->open[ev->to_agent] = false;
-	if (ev->to_agent) {
+	if (ev->to_agent && !l->peers) {
 		rev.u.link.link = l->id;
 		apply_agent(w, l->agent, &rev);
 	} else {
 		dev.u.link.link = l->id;
-		apply_entry(w, l->entry, &dev);
+		apply_entry(w, entry_at(l, ev->to_agent), &dev);
 	}
 }
 
@@ -803,23 +904,35 @@
 	ev->retry_after_ms = retry_after_ms;
 }
 
+/*
+ * Tells whether entry i is the end of a link that connected to another entry.
+ */
+static bool
+is_initiator(const struct world_link *l, uint32_t i)
+{
+	return (l != NULL && l->peers && l->agent == i);
+}
+
 static void
 run_entry_effects(struct world *w, uint32_t i, struct mlk_dispatch_effects *fx)
 {
 	struct mlk_dispatch_effect *f;
 	struct world_link *l;
+	struct event *ev;
 	size_t k;
 
 	for (k = 0; k < fx->n; k++) {
 		f = &fx->items[k];
 		switch (f->type) {
 		case MLK_DISPATCH_FX_SEND:
-			link_send(w, f->u.send.link, true, &f->u.send.msg);
+			l = link_get(w, f->u.send.link);
+			link_send(w, f->u.send.link, !is_initiator(l, i),
+			    &f->u.send.msg);
 			break;
 		case MLK_DISPATCH_FX_CLOSE:
 			l = link_get(w, f->u.close.link);
 			if (l != NULL)
-				link_close(w, l, false);
+				link_close(w, l, is_initiator(l, i));
 			break;
 		case MLK_DISPATCH_FX_ANSWER:
 			reply(w, i, f->u.answer.request, f->u.answer.outcome,
@@ -829,6 +942,11 @@
 			log_decision(w, "entry-", i, &f->u.log);
 			break;
 		case MLK_DISPATCH_FX_CONNECT:
+			ev = push(w, w->now + 2, EV_CONNECT_PEER, i);
+			ev->request = (uint32_t)atoi(f->u.connect.addr + 7) - 1;
+			ev->connect = f->u.connect.connect;
+			ev->generation = w->entries[i].generation;
+			break;
 		case MLK_DISPATCH_FX_EXIT:
 			break;
 		}
@@ -911,6 +1029,24 @@
 	push(w, w->now + RESEND_MS, EV_SUBMIT, 0)->job = j;
 }
 
+/*
+ * Returns the entry that gets the next attempt.
+ */
+static uint32_t
+choose_entry(struct world *w)
+{
+	uint32_t sum = 0, i, x;
+
+	for (i = 0; i < w->options.entries; i++)
+		sum += w->options.entry_weights[i];
+	if (sum == 0)
+		return (below(w, w->options.entries));
+	x = below(w, sum);
+	for (i = 0; x >= w->options.entry_weights[i]; i++)
+		x -= w->options.entry_weights[i];
+	return (i);
+}
+
 /*
  * Sends an attempt to a random entry.
  */
@@ -918,12 +1054,13 @@
 on_submit(struct world *w, const struct event *ev)
 {
 	struct world_job *job = job_by_index(w, ev->job);
-	uint32_t e = below(w, w->options.entries);
+	uint32_t e = choose_entry(w);
 	struct event *timer, *request;
 
 	if (job->finished)
 		return;
 	job->attempts++;
+	job->attempt_at = w->now;
 	job->entry = e;
 	job->request = ++w->last_request;
 	if (job->sent_at == 0)
@@ -941,6 +1078,7 @@
 		timer->attempt = job->attempts;
 	}
 	if (!w->entries[e].up) {
+		job->entry_lost = true;
 		resend(w, ev->job);
 		return;
 	}
@@ -961,10 +1099,13 @@
 	struct mlk_step step = { 0 };
 	struct mlk_work work = { 0 };
 	const struct world_job *job = job_by_index(w, ev->job);
+	char path[32] = "/";
 
 	if (!w->entries[ev->index].up ||
 	    w->entries[ev->index].generation != ev->generation)
 		return;
+	if (w->options.nroutes > 0)
+		(void)snprintf(path, sizeof(path), "/%u/", job->route);
 	step.count = job->count;
 	step.resources.cpu = job->cpu;
 	step.resources.mem_mb = 64;
@@ -977,7 +1118,7 @@
 	dev.u.submit.request = ev->request;
 	dev.u.submit.request_id = job->id;
 	dev.u.submit.host = "h";
-	dev.u.submit.path = "/";
+	dev.u.submit.path = path;
 	dev.u.submit.deadline_ms = job->deadline_ms;
 	dev.u.submit.work = &work;
 	apply_entry(w, ev->index, &dev);
@@ -1007,6 +1148,7 @@
 
 	if (!job->open || job->attempts != ev->attempt)
 		return;
+	job->untried += ev->type == EV_DEADLINE && !job->started;
 	hang_up(w, job);
 	if (ev->type == EV_LEAVE && below(w, 2) == 0) {
 		w->stats.gone++;
@@ -1035,6 +1177,7 @@
 		w->stats.retried_completed += job->refusal_retries == 1;
 		if (w->now - job->sent_at <= job->goal_ms)
 			w->stats.in_goal++;
+		job->completed_at = w->now;
 		job->finished = true;
 		break;
 	case MLK_WORK_FAILED:
@@ -1046,6 +1189,8 @@
 	case MLK_WORK_INVALID:
 		w->stats.refused++;
 		job->rejected++;
+		job->refusals_early +=
+		    (w->now - job->attempt_at) * 4 <= job->goal_ms;
 		job->finished = !w->options.retry_refused ||
 		    job->refusal_retries == REFUSAL_RETRIES_MAX;
 		if (job->started && job->rejected == job->attempts)
@@ -1088,8 +1233,100 @@
 	return (below(w, 20) == 0 ? ms * 7 : ms);
 }
 
+static struct world_job *
+create_job(struct world *w)
+{
+	struct world_job *job;
+
+	job = g_new0(struct world_job, 1);
+	(void)snprintf(
+	    job->id, sizeof(job->id), "%016" PRIx64, mlk_rng_next(&w->rng));
+	return (job);
+}
+
+/*
+ * Registers a new job, which is sent at once.
+ */
+static void
+add_job(struct world *w, struct world_job *job)
+{
+	g_ptr_array_add(w->jobs, job);
+	(void)g_hash_table_insert(w->by_id, job->id, job);
+	w->stats.jobs++;
+	push(w, w->now, EV_SUBMIT, 0)->job = w->jobs->len - 1;
+}
+
+/*
+ * Schedules the next possible arrival of a route, at its highest rate.
+ */
+static void
+push_route_arrival(struct world *w, uint32_t i)
+{
+	const struct world_route *r = &w->options.routes[i];
+	double peak, u;
+
+	peak = r->jobs_per_s * (1 + r->wave) * fmax(r->surge_factor, 1);
+	u = (1.0 + below(w, 1000000)) / 1000000;
+	/* Rounded to ms at random, so that the mean stays. */
+	u = -log(u) * 1000 / peak + below(w, 1000) / 1000.0;
+	(void)push(w, w->now + (int64_t)u, EV_ARRIVAL, i);
+}
+
+/*
+ * Returns the rate of a route's jobs at present, in jobs per second.
+ */
+static double
+route_rate(const struct world *w, const struct world_route *r)
+{
+	double rate = r->jobs_per_s, phase;
+
+	if (r->wave_ms > 0) {
+		phase = 2 * G_PI * (double)w->now / (double)r->wave_ms;
+		rate *= 1 + r->wave * sin(phase);
+	}
+	if (w->now >= r->surge_at && w->now < r->surge_at + r->surge_ms)
+		rate *= r->surge_factor;
+	return (rate);
+}
+
+/*
+ * A possible arrival of a route's job, which is taken with the probability of
+ * the present rate against the highest one.
+ */
+static void
+on_route_arrival(struct world *w, uint32_t i)
+{
+	const struct world_route *r = &w->options.routes[i];
+	struct world_job *job;
+	double peak, mean;
+	uint32_t k;
+
+	peak = r->jobs_per_s * (1 + r->wave) * fmax(r->surge_factor, 1);
+	push_route_arrival(w, i);
+	if (below(w, 1000000) >= route_rate(w, r) / peak * 1000000)
+		return;
+	job = create_job(w);
+	job->route = i;
+	job->count = r->tasks + below(w, r->tasks_max - r->tasks + 1);
+	job->cpu = r->cpu;
+	mean = r->work_ms * (0.7 + below(w, 601) / 1000.0);
+	for (k = 0; k < job->count; k++) {
+		job->work_ms[k] =
+		    1 + (uint32_t)(mean * (0.875 + below(w, 251) / 1000.0));
+		if (job->goal_ms < job->work_ms[k])
+			job->goal_ms = job->work_ms[k];
+	}
+	job->estimate_ms = 1 +
+	    (uint32_t)(mean *
+		(100 - ESTIMATE_ERROR + below(w, 2 * ESTIMATE_ERROR + 1)) /
+		100);
+	job->goal_ms = job->goal_ms * STRETCH / 1000 + TARGET_MS;
+	job->deadline_ms = ROUTE_DEADLINE_MS;
+	add_job(w, job);
+}
+
 static void
-on_arrival(struct world *w)
+on_arrival(struct world *w, const struct event *ev)
 {
 	static const struct {
 		uint32_t weight;
@@ -1101,15 +1338,17 @@
 
 	if (!w->traffic)
 		return;
+	if (w->options.nroutes > 0) {
+		on_route_arrival(w, ev->index);
+		return;
+	}
 	if (w->now >= w->options.burst_at &&
 	    w->now < w->options.burst_at + w->options.burst_ms)
 		per_s *= w->options.burst_factor;
 	(void)push(w, w->now + 1 + below(w, 2 * 1000 / per_s), EV_ARRIVAL, 0);
 	for (k = 0; x >= kinds[k].weight; k++)
 		x -= kinds[k].weight;
-	job = g_new0(struct world_job, 1);
-	(void)snprintf(
-	    job->id, sizeof(job->id), "%016" PRIx64, mlk_rng_next(&w->rng));
+	job = create_job(w);
 	job->count = 1 + below(w, kinds[k].count + kinds[k].count / 2);
 	if (job->count > TASKS_MAX)
 		job->count = TASKS_MAX;
@@ -1123,10 +1362,7 @@
 	job->estimate_ms = 1 + mean / 2 + below(w, mean + 1);
 	job->goal_ms = job->goal_ms * STRETCH / 1000 + TARGET_MS;
 	job->deadline_ms = 1500 + 3 * job->goal_ms;
-	g_ptr_array_add(w->jobs, job);
-	(void)g_hash_table_insert(w->by_id, job->id, job);
-	w->stats.jobs++;
-	push(w, w->now, EV_SUBMIT, 0)->job = w->jobs->len - 1;
+	add_job(w, job);
 }
 
 /* ---- faults -------------------------------------------------------------- */
@@ -1146,7 +1382,10 @@
 	e->d = NULL;
 	for (j = 0; j < w->jobs->len; j++) {
 		job = job_by_index(w, j);
-		if (!silent && job->open && job->entry == i)
+		if (!job->open || job->entry != i)
+			continue;
+		job->entry_lost = true;
+		if (!silent)
 			resend(w, j);
 	}
 	push(w, w->now + ms, EV_RESTART, i)->fault = WORLD_ENTRY_KILL;
@@ -1190,7 +1429,7 @@
 
 	for (i = 0; i < w->links->len; i++) {
 		l = g_ptr_array_index(w->links, i);
-		if (l->entry != entry || l->agent != agent)
+		if (l->peers || l->entry != entry || l->agent != agent)
 			continue;
 		link_close(w, l, false);
 		link_close(w, l, true);
@@ -1475,12 +1714,13 @@
  * paused.
  */
 static int64_t
-paused_until(const struct world *w, const struct event *ev)
+paused_until(struct world *w, const struct event *ev)
 {
 	switch (ev->type) {
 	case EV_TICK_ENTRY:
 	case EV_REQUEST:
 	case EV_CALLER_GONE:
+	case EV_CONNECT_PEER:
 		return (w->entries[ev->index].paused_until);
 	case EV_TICK_AGENT:
 	case EV_ORDER_RESULT:
@@ -1489,8 +1729,9 @@
 		return (w->agents[ev->index].paused_until);
 	case EV_MSG:
 	case EV_LINK_DOWN:
-		return (ev->to_agent ? w->agents[ev->index].paused_until :
-				       w->entries[ev->index].paused_until);
+		return (ev->to_agent && !link_get(w, ev->link)->peers ?
+			w->agents[ev->index].paused_until :
+			w->entries[ev->index].paused_until);
 	case EV_SUBMIT:
 	default:
 		return (0);
@@ -1523,6 +1764,9 @@
 	case EV_CONNECT:
 		on_connect(w, ev);
 		break;
+	case EV_CONNECT_PEER:
+		on_connect_peer(w, ev);
+		break;
 	case EV_LINK_DOWN:
 		on_link_down(w, ev);
 		break;
@@ -1551,7 +1795,7 @@
 		on_restart(w, ev);
 		break;
 	case EV_ARRIVAL:
-		on_arrival(w);
+		on_arrival(w, ev);
 		break;
 	case EV_WORKER_LEAVES:
 		on_worker_leaves(w, ev);
@@ -1669,7 +1913,8 @@
 		start_worker(w, i, NULL);
 		start_agent(w, i);
 	}
-	(void)push(w, w->now + 2500, EV_ARRIVAL, 0);
+	for (i = 0; i == 0 || i < options->nroutes; i++)
+		(void)push(w, w->now + 2500, EV_ARRIVAL, i);
 	return (w);
 }
 
@@ -1779,3 +2024,65 @@
 		    (uint32_t)mlk_runner_counters(w->agents[i].r)->refused;
 	}
 }
+
+static double
+job_work(const struct world_job *job)
+{
+	double work = 0;
+	uint32_t k;
+
+	for (k = 0; k < job->count; k++)
+		work += (double)job->work_ms[k] * job->cpu;
+	return (work);
+}
+
+static gint
+by_work(gconstpointer a, gconstpointer b)
+{
+	double x = job_work(*(struct world_job *const *)a);
+	double y = job_work(*(struct world_job *const *)b);
+
+	return (x > y ? -1 : x < y);
+}
+
+static bool
+is_within(const struct world_job *job, uint32_t goals)
+{
+	return (job->completed_at != 0 &&
+	    job->completed_at - job->sent_at <= (int64_t)job->goal_ms * goals);
+}
+
+void
+world_read_route(
+    const struct world *w, uint32_t route, struct world_route_stats *out)
+{
+	const struct world_job *job;
+	GPtrArray *jobs;
+	guint j;
+
+	memset(out, 0, sizeof(*out));
+	jobs = g_ptr_array_new();
+	for (j = 0; j < w->jobs->len; j++) {
+		job = g_ptr_array_index(w->jobs, j);
+		if (job->route != route || job->entry_lost ||
+		    job->sent_at < w->options.count_from ||
+		    job->sent_at >= w->options.count_until)
+			continue;
+		g_ptr_array_add(jobs, (gpointer)job);
+		out->jobs++;
+		out->completed += job->completed_at != 0;
+		out->useful += is_within(job, USEFUL_GOALS);
+		out->in_goal += is_within(job, 1);
+		out->refusals += job->rejected;
+		out->refusals_early += job->refusals_early;
+		out->untried += job->untried;
+		out->work += job_work(job);
+		out->work_in_goal += is_within(job, 1) ? job_work(job) : 0;
+	}
+	g_ptr_array_sort(jobs, by_work);
+	out->large = jobs->len / 10;
+	for (j = 0; j < out->large; j++)
+		out->large_useful +=
+		    is_within(g_ptr_array_index(jobs, j), USEFUL_GOALS);
+	(void)g_ptr_array_free(jobs, TRUE);
+}
--- a/test/dispatch_world.h
+++ b/test/dispatch_world.h
@@ -19,8 +19,11 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#define WORLD_ENTRIES_MAX 4
-#define WORLD_AGENTS_MAX 6
+#include <monsoonlock/dispatch.h>
+
+#define WORLD_ENTRIES_MAX 10
+#define WORLD_AGENTS_MAX 10
+#define WORLD_ROUTES_MAX 8
 
 /* `a` is the index of the entry, `b` that of the agent and its worker. */
 enum world_fault {
@@ -58,6 +61,24 @@
 	WORLD_FAULTS, /* number of faults; as a fault: none */
 };
 
+/* A queue of callers with jobs of one kind. */
+struct world_route {
+	uint32_t priority;
+	uint32_t tasks; /* of the narrowest jobs; at most 12 */
+	uint32_t tasks_max; /* of the widest */
+	uint32_t cpu; /* of each task, thousandths of a core */
+	uint32_t work_ms; /* mean run time of a task */
+	double jobs_per_s; /* mean; arrivals are a Poisson process */
+	/* From surge_at on, the rate is multiplied by surge_factor for
+	 * surge_ms; 0 ms: no surge. */
+	int64_t surge_at;
+	uint32_t surge_ms;
+	double surge_factor;
+	/* The rate swings by this part of it in a sine of wave_ms. */
+	double wave;
+	uint32_t wave_ms;
+};
+
 struct world_options {
 	uint64_t seed;
 	uint32_t entries;
@@ -73,6 +94,21 @@
 	uint32_t burst_ms;
 	uint32_t burst_factor;
 	bool retry_refused; /* refused callers send again after Retry-After */
+	/*
+	 * Queues of the jobs, in place of the mixture with jobs_per_s; 0: none.
+	 * Their callers wait for 1,500 ms, and their estimates of run times
+	 * are off by up to 0.4 in either direction.
+	 */
+	uint32_t nroutes;
+	const struct world_route *routes;
+	/* Jobs of routes that are first sent in this time are counted by
+	 * world_read_route(). */
+	int64_t count_from;
+	int64_t count_until;
+	uint32_t entry_weights[WORLD_ENTRIES_MAX]; /* parts of the traffic; all
+						      0: equal parts */
+	bool link_entries; /* entries connect to each other */
+	enum mlk_admission_mode admission;
 };
 
 struct world;
@@ -110,4 +146,28 @@
 
 void world_read_stats(const struct world *w, struct world_stats *out);
 
+/*
+ * Jobs of a route; work is in thousandths of a core for 1 ms.  Left out are
+ * jobs with an attempt at an entry that was down or was killed: their callers
+ * wait for another one, whatever that decides.
+ */
+struct world_route_stats {
+	uint32_t jobs;
+	uint32_t completed;
+	uint32_t useful; /* completed within three times the target response
+			    time, as measured by the caller */
+	uint32_t in_goal;
+	uint32_t refusals;
+	uint32_t refusals_early; /* within a quarter of the target response
+				    time of the attempt */
+	uint32_t untried; /* attempts whose deadline passed before a run */
+	double work;
+	double work_in_goal;
+	uint32_t large; /* the tenth of the jobs with the most work */
+	uint32_t large_useful;
+};
+
+void world_read_route(
+    const struct world *w, uint32_t route, struct world_route_stats *out);
+
 #endif
