--- a/test/soak_procs.c
+++ b/test/soak_procs.c
@@ -53,6 +53,9 @@
 	(void)fprintf(f, "readiness: {listen: \"%s\"}\n", addr);
 	soak_entry_addr(s, i, SOAK_PORT_METRICS, addr);
 	(void)fprintf(f, "metrics: {listen: \"%s\"}\n", addr);
+	/* Half of the seeds. */
+	if (s->options.seed % 2 == 0)
+		(void)fprintf(f, "admission: {mode: shares}\n");
 }
 
 static void
