--- a/src/dispatch/demand.c
+++ b/src/dispatch/demand.c
@@ -25,8 +25,8 @@
  */
 #define USUAL_NS (30000 * MS)
 /*
- * Interval of the reports to peers: their number per second and entry stays
- * below 40, whatever the number of peers.
+ * Interval of the reports to peers: an entry sends 40 a second or fewer,
+ * whatever the number of peers; early ones come on top.
  */
 #define REPORT_NS (250 * MS)
 #define REPORT_PER_PEER_NS (25 * MS)
@@ -34,15 +34,18 @@
 #define REPORT_CHANGE 0.3
 #define REPORT_EARLY_NS (100 * MS)
 #define REPORT_EXPIRES 4 /* intervals */
-#define ROUTES_MAX 4096U /* at this number, the idle ones are removed */
+/*
+ * Names of routes come from peers too.  At this number the idle ones are
+ * removed, at most once a window; further routes are not counted.
+ */
+#define ROUTES_MAX 4096U
 #define PEERS_MAX 1024U
 #define BIAS_RUNS 256U /* runs after which older ones decay exponentially */
 #define BIAS_MIN_RUNS 8U
-#define BIAS_MAX                                                    \
-	4.0 /* a higher factor is taken for a fault of some workers \
-	     */
+#define BIAS_MAX 4.0 /* a higher factor is taken for a fault of workers */
 #define BIAS_MIN 0.25
 #define IDLE_RATE 1.0 /* thousandths of a core; below it a route is idle */
+#define QUEUED_MAX 1e18 /* in a report; fits an integer of 64 bits */
 
 struct route {
 	char name[MLK_NAME_MAX];
@@ -52,6 +55,7 @@
 	double admitted;
 	double reported; /* `offered` in the last report */
 	double queued; /* work */
+	uint32_t nqueued; /* tasks in `queued` */
 	double usual; /* of the total of all entries */
 	uint32_t nruns; /* in the means below */
 	double ran; /* mean work of a run */
@@ -75,7 +79,10 @@
 	int64_t window_start;
 	int64_t interval; /* of the reports */
 	int64_t reported_at;
+	int64_t
+	    evicted_at; /* window_start when idle routes were last removed */
 	bool changed; /* a rate has changed so much that it is reported early */
+	bool active; /* a route has demand, or had at the last report */
 };
 
 struct demand *
@@ -108,10 +115,13 @@
 
 	(void)key;
 	(void)data;
-	return (
-	    r->offered < IDLE_RATE && r->window_offered <= 0 && r->queued <= 0);
+	return (r->offered < IDLE_RATE && r->window_offered <= 0 &&
+	    r->nqueued == 0);
 }
 
+/*
+ * Returns the record of a route, or NULL when there are too many.
+ */
 static struct route *
 route_get(struct demand *d, const char *name)
 {
@@ -120,8 +130,13 @@
 	r = g_hash_table_lookup(d->routes, name);
 	if (r != NULL)
 		return (r);
-	if (g_hash_table_size(d->routes) >= ROUTES_MAX)
+	if (g_hash_table_size(d->routes) >= ROUTES_MAX &&
+	    d->evicted_at != d->window_start) {
 		(void)g_hash_table_foreach_remove(d->routes, is_idle, NULL);
+		d->evicted_at = d->window_start;
+	}
+	if (g_hash_table_size(d->routes) >= ROUTES_MAX)
+		return (NULL);
 	r = g_new0(struct route, 1);
 	(void)g_strlcpy(r->name, name, sizeof(r->name));
 	(void)g_hash_table_insert(d->routes, r->name, r);
@@ -136,20 +151,40 @@
 {
 	struct route *r = route_get(d, route);
 
+	if (r == NULL)
+		return;
 	r->window_offered += work;
 	if (admitted)
 		r->window_admitted += work;
 }
 
 /*
- * Changes the work that waits; `work` is below 0 when it leaves the queue.
+ * Adds the work of a task that waits.
  */
 void
 demand_queued(struct demand *d, const char *route, double work)
 {
 	struct route *r = route_get(d, route);
 
-	r->queued = MAX(r->queued + work, 0);
+	if (r == NULL)
+		return;
+	r->nqueued++;
+	r->queued += work;
+}
+
+/*
+ * Removes the work of a task that was queued.
+ */
+void
+demand_dequeued(struct demand *d, const char *route, double work)
+{
+	struct route *r = g_hash_table_lookup(d->routes, route);
+
+	if (r == NULL || r->nqueued == 0)
+		return;
+	r->nqueued--;
+	/* An empty queue must not keep a rounding error. */
+	r->queued = r->nqueued == 0 ? 0 : MAX(r->queued - work, 0);
 }
 
 /*
@@ -164,6 +199,8 @@
 	struct route *r;
 
 	r = route_get(d, route);
+	if (r == NULL)
+		return;
 	if (r->nruns < BIAS_RUNS)
 		r->nruns++;
 	r->ran += (work - r->ran) / r->nruns;
@@ -271,6 +308,7 @@
 	if (span < WINDOW_NS)
 		return;
 	keep = exp(-(double)span / (double)RATE_NS);
+	d->active = false;
 	g_hash_table_iter_init(&iter, d->routes);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		r = value;
@@ -281,6 +319,8 @@
 		r->window_offered = 0;
 		r->window_admitted = 0;
 		update_usual(d, r, span);
+		d->active |=
+		    r->nqueued > 0 || MAX(r->offered, r->reported) >= IDLE_RATE;
 		if (fabs(r->offered - r->reported) >
 		    REPORT_CHANGE * MAX(r->reported, IDLE_RATE))
 			d->changed = true;
@@ -289,14 +329,15 @@
 }
 
 /*
- * Tells whether to report to the peers now.
+ * Tells whether to report to the peers now.  Without any demand, the last
+ * report says so and no other follows.
  */
 bool
 demand_report_due(const struct demand *d, uint32_t peers, int64_t now)
 {
 	int64_t since = now - d->reported_at, interval;
 
-	if (peers == 0 || g_hash_table_size(d->routes) == 0)
+	if (peers == 0 || !d->active)
 		return (false);
 	interval = MAX(REPORT_NS, REPORT_PER_PEER_NS * (int64_t)peers);
 	if (d->changed && since >= MAX(REPORT_EARLY_NS, interval / 3))
@@ -332,7 +373,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		r = value;
 		r->reported = r->offered;
-		if (r->offered >= IDLE_RATE || r->queued > 0)
+		if (r->offered >= IDLE_RATE || r->nqueued > 0)
 			g_ptr_array_add(busy, r);
 	}
 	g_ptr_array_sort(busy, by_offered);
@@ -346,26 +387,33 @@
 		(void)g_strlcpy(item->route, r->name, sizeof(item->route));
 		item->offered = (uint32_t)MIN(r->offered, (double)UINT32_MAX);
 		item->admitted = (uint32_t)MIN(r->admitted, (double)UINT32_MAX);
-		item->queued = (uint64_t)r->queued;
+		item->queued = (uint64_t)MIN(r->queued, QUEUED_MAX);
 	}
 	(void)g_ptr_array_free(busy, TRUE);
 	d->reported_at = now;
 	d->changed = false;
 }
 
+/*
+ * Returns the record of a peer, or NULL when there are too many.  Records that
+ * no longer count are removed, that of this peer too: a machine whose clock
+ * was set back starts its entry with a lower incarnation.
+ */
 static struct peer_report *
 peer_get(struct demand *d, const char *id)
 {
-	struct peer_report *p;
+	struct peer_report *p, *found = NULL;
 	guint i;
 
 	for (i = d->peers->len; i > 0; i--) {
 		p = g_ptr_array_index(d->peers, i - 1);
-		if (strcmp(p->id, id) == 0)
-			return (p);
 		if (!is_current(d, p))
 			(void)g_ptr_array_remove_index_fast(d->peers, i - 1);
+		else if (strcmp(p->id, id) == 0)
+			found = p;
 	}
+	if (found != NULL)
+		return (found);
 	if (d->peers->len >= PEERS_MAX)
 		return (NULL);
 	p = g_new0(struct peer_report, 1);
@@ -376,7 +424,7 @@
 
 /*
  * Handles the report of a peer.  One that was sent before the last one applied
- * is ignored.
+ * is ignored while that one counts.
  */
 void
 demand_apply(
--- a/src/dispatch/dispatcher_admit.c
+++ b/src/dispatch/dispatcher_admit.c
@@ -67,6 +67,7 @@
 	int64_t age; /* of the oldest peer report in it */
 	uint32_t entries; /* that it is made from */
 	bool is_short;
+	bool logged_short; /* as the last log line says */
 	int64_t logged_at;
 };
 
@@ -150,6 +151,7 @@
 		return (p);
 	p = g_new0(struct admission_pool, 1);
 	(void)g_strlcpy(p->name, name, sizeof(p->name));
+	p->entries = 1;
 	(void)g_hash_table_insert(adm->pools, p->name, p);
 	return (p);
 }
@@ -244,11 +246,11 @@
 static void
 log_short(struct mlk_dispatcher *d, struct admission_pool *p, bool is_short)
 {
-	if (p->is_short == is_short)
-		return;
 	p->is_short = is_short;
-	if (d->now - p->logged_at < SHORT_LOG_NS && p->logged_at != 0)
+	if (p->logged_short == is_short ||
+	    (d->now - p->logged_at < SHORT_LOG_NS && p->logged_at != 0))
 		return;
+	p->logged_short = is_short;
 	p->logged_at = d->now;
 	dispatch_log(d, MLK_LOG_NOTICE, NULL, NULL,
 	    "pool %s %s: %.1f of %.1f cores offered, %.1f free, %.0f ms of "
@@ -366,9 +368,12 @@
     const struct admission_pool *p, const char *cause, double work)
 {
 	uint32_t retry_ms;
+	double rate;
 
-	retry_ms = dispatch_retry_after_share_ms(
-	    d, work, MAX(r->share, p->capacity / 100), &r->next_retry_at);
+	/* Every entry spreads the callers that it refuses. */
+	rate = MAX(r->share, p->capacity / 100) / p->entries;
+	retry_ms =
+	    dispatch_retry_after_share_ms(d, work, rate, &r->next_retry_at);
 	dispatch_log(d, MLK_LOG_INFO, job, NULL,
 	    "refused: %s; queue %.1f cores offered, share %.1f; pool %.1f of "
 	    "%.1f free, %" PRId64 " ms of work ahead, %u entries, reports "
