dispatch: jobs of queues within their share are placed first

Cause: with one queue flooding, jobs of the calm queues were late behind its admitted work, and refused by waits that counted it. Change: while a pool is short, on-time jobs of queues within their share come first; the estimate of the wait counts only what is placed before; demand up to 1.25 times the usual one counts as usual.

--- a/src/dispatch/dispatcher_admit.c
+++ b/src/dispatch/dispatcher_admit.c
@@ -74,6 +74,7 @@
 struct admission {
 	GHashTable *routes; /* name -> struct admission_route */
 	GHashTable *pools; /* name -> struct admission_pool */
+	uint32_t nshort; /* pools that are short of capacity */
 	uint32_t nagents; /* usable */
 	int64_t grown_at; /* when their number last rose */
 	double error_ms; /* mean of |estimated - actual wait| */
@@ -298,9 +299,13 @@
 		return;
 	demand_update(d->demand, d->now);
 	measure_capacity(d);
+	d->admission->nshort = 0;
 	g_hash_table_iter_init(&iter, d->admission->pools);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		update_pool(d, value);
+		d->admission->nshort +=
+		    ((struct admission_pool *)value)->is_short;
+	}
 	for (i = 0; i < d->peers->len; i++) {
 		p = g_ptr_array_index(d->peers, i);
 		peers += p->link != 0;
@@ -337,12 +342,12 @@
 
 /*
  * Returns the expected time until work with this slack that arrives now is
- * started, in ns.  Work is done in order of its slack, so only work with less
- * slack is ahead.
+ * started, in ns.  Work of queues within their share is done first, and then in
+ * order of its slack.
  */
 static int64_t
 expected_wait(const struct mlk_dispatcher *d, const struct admission_pool *p,
-    double slack)
+    bool within_share, double slack)
 {
 	const struct admission_route *r;
 	GHashTableIter iter;
@@ -354,7 +359,10 @@
 	g_hash_table_iter_init(&iter, d->admission->routes);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		r = value;
-		if (r->slack <= slack && strcmp(r->pool, p->name) == 0)
+		if (strcmp(r->pool, p->name) != 0)
+			continue;
+		if (within_share ? r->fraction >= 1 && r->slack <= slack :
+				   r->fraction >= 1 || r->slack <= slack)
 			ahead += r->queued;
 	}
 	return ((int64_t)(ahead / (p->capacity * USABLE_SHARE) * MS));
@@ -411,10 +419,11 @@
 		return (true);
 	work = job_work(d, job);
 	r = route_get(d, job->route);
+	job->within_share = r->fraction >= 1;
 	p = pool_get(d->admission, job->pool);
 	slack = (double)(job->start_by - job->arrived);
 	r->slack += (slack - r->slack) * (r->slack == 0 ? 1 : SLACK_WEIGHT);
-	job->wait_expected = expected_wait(d, p, slack);
+	job->wait_expected = expected_wait(d, p, job->within_share, slack);
 	if (p->capacity > 0 && !is_capacity_unknown(d) &&
 	    !dispatch_fits_now(d, job)) {
 		if (r->fraction < 1 &&
@@ -435,6 +444,16 @@
 	return (false);
 }
 
+/*
+ * Tells whether a pool is short of capacity, so that the order of the queue
+ * goes by shares.
+ */
+bool
+dispatch_any_pool_short(const struct mlk_dispatcher *d)
+{
+	return (d->admission != NULL && d->admission->nshort > 0);
+}
+
 /*
  * Tells whether a job of which nothing has started is to be refused because its
  * goal can no longer be met and the pool is short of capacity: whatever it
@@ -485,7 +504,7 @@
 		out->offered_cpu += (uint64_t)p->offered;
 		out->pools_short += p->is_short;
 		out->wait_ms = MAX(out->wait_ms,
-		    (uint64_t)(expected_wait(d, p, INFINITY) / MS));
+		    (uint64_t)(expected_wait(d, p, false, INFINITY) / MS));
 	}
 	out->wait_error_ms = (uint64_t)d->admission->error_ms;
 }
--- a/src/dispatch/dispatcher_priv.h
+++ b/src/dispatch/dispatcher_priv.h
@@ -181,6 +181,7 @@
 	int64_t start_by; /* latest start that meets goal_ns; sort key of the
 			     queue */
 	int64_t wait_expected; /* estimate at its arrival */
+	bool within_share; /* its queue was within its share at that time */
 	GBytes *spec;
 	uint32_t nsteps;
 	struct mlk_step *steps;
@@ -270,7 +271,8 @@
 };
 
 enum walk_part {
-	WALK_ON_TIME,
+	WALK_WITHIN_SHARE, /* on time, and their queue is within its share */
+	WALK_ON_TIME, /* the others */
 	WALK_LATE_STARTED,
 	WALK_LATE_UNSTARTED,
 };
@@ -279,6 +281,7 @@
 struct queue_walk {
 	struct mlk_dispatcher *d;
 	enum walk_part part;
+	bool split; /* jobs of queues within their share come first */
 	GSequenceIter *next; /* valid while `more` is set */
 	bool more;
 };
@@ -340,6 +343,7 @@
 void dispatch_admission_destroy(struct admission *admission);
 void dispatch_admission_due(struct mlk_dispatcher *d);
 bool dispatch_admit(struct mlk_dispatcher *d, struct job *job);
+bool dispatch_any_pool_short(const struct mlk_dispatcher *d);
 bool dispatch_admission_hopeless(
     struct mlk_dispatcher *d, const struct job *job);
 void dispatch_admission_started(
--- a/src/dispatch/dispatcher_queue.c
+++ b/src/dispatch/dispatcher_queue.c
@@ -118,6 +118,17 @@
 	return (g_sequence_search(d->queue, &key, cmp_start_by, NULL));
 }
 
+/*
+ * Starts a pass over the jobs that are on time, the most urgent first.
+ */
+static void
+walk_begin_on_time(struct queue_walk *walk, enum walk_part part)
+{
+	walk->part = part;
+	walk->next = first_on_time(walk->d);
+	walk->more = !g_sequence_iter_is_end(walk->next);
+}
+
 /*
  * Starts an iteration over the queued jobs, the most urgent first.  The queue
  * is sorted by start_by, so late jobs are at its front.  They come last: those
@@ -131,7 +142,8 @@
 dispatch_walk_begin(struct mlk_dispatcher *d, struct queue_walk *walk)
 {
 	walk->d = d;
-	walk->part = WALK_ON_TIME;
+	walk->split = dispatch_any_pool_short(d);
+	walk->part = walk->split ? WALK_WITHIN_SHARE : WALK_ON_TIME;
 	walk->next = first_on_time(d);
 	walk->more = !g_sequence_iter_is_end(walk->next);
 }
@@ -159,7 +171,7 @@
 	struct job *job = g_sequence_get(walk->next);
 
 	walk->d->counters.looks++;
-	if (walk->part == WALK_ON_TIME) {
+	if (walk->part <= WALK_ON_TIME) {
 		walk->next = g_sequence_iter_next(walk->next);
 		walk->more = !g_sequence_iter_is_end(walk->next);
 	} else {
@@ -170,6 +182,25 @@
 	return (job);
 }
 
+/*
+ * Tells whether a job belongs to the current part.
+ */
+static bool
+is_in_part(const struct queue_walk *walk, const struct job *job)
+{
+	switch (walk->part) {
+	case WALK_WITHIN_SHARE:
+		return (job->within_share);
+	case WALK_ON_TIME:
+		return (!walk->split || !job->within_share);
+	case WALK_LATE_STARTED:
+		return (has_started(job));
+	case WALK_LATE_UNSTARTED:
+		break;
+	}
+	return (!has_started(job));
+}
+
 /*
  * Returns the next job, or NULL at the end.  The job returned last may have
  * left the queue in the meantime; other jobs may not.
@@ -183,14 +214,17 @@
 		if (!walk->more) {
 			if (walk->part == WALK_LATE_UNSTARTED)
 				return (NULL);
+			if (walk->part == WALK_WITHIN_SHARE) {
+				walk_begin_on_time(walk, WALK_ON_TIME);
+				continue;
+			}
 			walk_begin_late(walk,
 			    walk->part == WALK_ON_TIME ? WALK_LATE_STARTED :
 							 WALK_LATE_UNSTARTED);
 			continue;
 		}
 		job = walk_step(walk);
-		if (walk->part == WALK_ON_TIME ||
-		    has_started(job) == (walk->part == WALK_LATE_STARTED))
+		if (is_in_part(walk, job))
 			return (job);
 	}
 }
--- a/src/dispatch/shares.c
+++ b/src/dispatch/shares.c
@@ -18,6 +18,11 @@
  * lower, so that a new queue does not starve among others that use everything.
  */
 #define FLOOR_SHARE 0.25
+/*
+ * Demand up to this multiple of the usual one counts as usual: arrivals vary,
+ * and the load of a day swings by half.
+ */
+#define USUAL_MARGIN 1.25
 
 /*
  * Returns the weight of a queue by its priority, of which 0 is the highest.
@@ -99,8 +104,8 @@
 	for (i = 0; i < n; i++) {
 		floor = capacity * queues[i].weight / weights * FLOOR_SHARE;
 		queues[i].share = 0;
-		queues[i].limit =
-		    fmin(queues[i].demand, fmax(queues[i].usual, floor));
+		queues[i].limit = fmin(queues[i].demand,
+		    fmax(queues[i].usual * USUAL_MARGIN, floor));
 	}
 	capacity = fill(queues, n, capacity);
 	for (i = 0; i < n; i++)
