--- a/include/monsoonlock/core.h
+++ b/include/monsoonlock/core.h
@@ -231,13 +231,17 @@
 	struct mlk_route_demand *items;
 };
 
-/* Progress of the tasks of a kind beside another kind on one worker. */
+/*
+ * Progress of the tasks of a kind beside another kind on one worker, relative to
+ * that without it.  A row with `other` 0 tells instead whether runs of the kind
+ * are at the worker (samples 1) or not (0).
+ */
 struct mlk_corun {
 	uint32_t kind;
-	uint32_t other; /* 0: no other kind */
-	uint32_t samples;
-	int32_t mean; /* of log2(progress / expected progress), thousandths */
-	uint32_t variance; /* of a sample, thousandths */
+	uint32_t other;
+	uint32_t samples; /* information about `mean`, thousandths */
+	int32_t mean; /* log2(rate beside / rate without), thousandths */
+	uint32_t variance; /* of a sample (log2), thousandths */
 };
 
 /* Tasks of `kind` are slowed down by tasks of `other` on the same worker. */
@@ -582,7 +586,7 @@
 			uint32_t n;
 			struct mlk_corun *items;
 		} corun;
-		struct { /* entry -> entry */
+		struct { /* entry -> agent, entry */
 			uint64_t sent_at;
 			uint32_t n;
 			struct mlk_verdict *items;
