dispatch, platform: entries and agents measure interference and avoid it

Cause: the verdicts on kinds of task that slow each other down were not used. Change: RUN carries the kind; agents report pairs (CORUN) to one entry and which named kinds run there to all; that entry makes verdicts and shares them (VERDICTS); placement adds a cost to workers with the other kind.

--- a/include/monsoonlock/app.h
+++ b/include/monsoonlock/app.h
@@ -96,6 +96,7 @@
 	uint32_t grace_ms; /* from SIGTERM until the process is killed */
 	uint32_t lease_ms; /* of runs at a worker */
 	uint32_t resend_ms; /* minimum wait before callers resend a job */
+	enum mlk_interference_mode interference;
 	uint32_t nentries;
 	char (*entries)[MLK_ADDR_MAX]; /* link addresses of the entries */
 };
--- a/include/monsoonlock/core.h
+++ b/include/monsoonlock/core.h
@@ -232,9 +232,9 @@
 };
 
 /*
- * Progress of the tasks of a kind beside another kind on one worker, relative to
- * that without it.  A row with `other` 0 tells instead whether runs of the kind
- * are at the worker (samples 1) or not (0).
+ * Progress of the tasks of a kind beside another kind on one worker, relative
+ * to that without it.  A row with `other` 0 tells instead whether runs of the
+ * kind are at the worker (samples 1) or not (0).
  */
 struct mlk_corun {
 	uint32_t kind;
--- a/include/monsoonlock/dispatch.h
+++ b/include/monsoonlock/dispatch.h
@@ -91,6 +91,16 @@
 int mlk_watch_page(struct mlk_watch *watch, const char *last_key,
     uint64_t version, int64_t now);
 
+/* ---- interference -------------------------------------------------------- */
+
+/* What is done about kinds of task that slow each other down on a worker. */
+enum mlk_interference_mode {
+	MLK_INTERFERENCE_OFF, /* nothing is measured */
+	MLK_INTERFERENCE_OBSERVE, /* verdicts are made and shown */
+	MLK_INTERFERENCE_AVOID, /* placement prefers workers without the other
+				   kind */
+};
+
 /* ---- runner ------------------------------------------------------------- */
 
 /* Identifies one run at the worker. */
@@ -266,6 +276,7 @@
 	uint32_t entry_lease_ms; /* the runs of an entry that is silent for this
 				    long are stopped */
 	uint32_t grace_ms; /* from the stop event to EXIT */
+	enum mlk_interference_mode interference;
 	uint32_t nentries; /* addresses from the settings */
 	char (*entries)[MLK_ADDR_MAX];
 };
@@ -445,35 +456,40 @@
 	uint64_t seed;
 	uint32_t max_jobs;
 	uint32_t grace_ms; /* from the stop event to EXIT */
+	enum mlk_interference_mode interference;
 	uint32_t nentries; /* addresses from the settings */
 	char (*entries)[MLK_ADDR_MAX];
 };
 
 void mlk_dispatcher_options_default(struct mlk_dispatcher_options *options);
 
-#define MLK_DISPATCH_COUNTERS(X)                                           \
-	X(jobs, "Jobs taken")                                              \
-	X(jobs_joined, "Requests that joined a job at work")               \
-	X(completed, "Jobs answered complete")                             \
-	X(failed, "Jobs answered failed")                                  \
-	X(refused, "Jobs refused, nothing ran")                            \
-	X(no_route, "Requests without a route")                            \
-	X(broken, "Jobs given up, to be sent again")                       \
-	X(late, "Jobs whose deadline passed")                              \
-	X(abandoned, "Jobs whose caller left")                             \
-	X(tasks_sent, "Tasks sent to agents")                              \
-	X(tasks_busy, "Tasks that came back for lack of room")             \
-	X(looks, "Jobs and workers looked at for a place")                 \
-	X(wants, "Messages that asked for room")                           \
-	X(offers_taken, "Offers of room that were used")                   \
-	X(offers_passed, "Offers of room that were not")                   \
-	X(tasks_refused, "Tasks that came back not run for another cause") \
-	X(tasks_lost, "Runs lost with a lease, worker, agent or link")     \
-	X(tasks_failed, "Runs that failed")                                \
-	X(tasks_moved, "Runs moved away from sick workers")                \
-	X(links_silent, "Links closed after silence")                      \
-	X(addrs_ignored, "Addresses of entries that cannot be used")       \
-	X(routings, "Routing tables put in force")
+#define MLK_DISPATCH_COUNTERS(X)                                              \
+	X(jobs, "Jobs taken")                                                 \
+	X(jobs_joined, "Requests that joined a job at work")                  \
+	X(completed, "Jobs answered complete")                                \
+	X(failed, "Jobs answered failed")                                     \
+	X(refused, "Jobs refused, nothing ran")                               \
+	X(no_route, "Requests without a route")                               \
+	X(broken, "Jobs given up, to be sent again")                          \
+	X(late, "Jobs whose deadline passed")                                 \
+	X(abandoned, "Jobs whose caller left")                                \
+	X(tasks_sent, "Tasks sent to agents")                                 \
+	X(tasks_busy, "Tasks that came back for lack of room")                \
+	X(looks, "Jobs and workers looked at for a place")                    \
+	X(wants, "Messages that asked for room")                              \
+	X(offers_taken, "Offers of room that were used")                      \
+	X(offers_passed, "Offers of room that were not")                      \
+	X(tasks_refused, "Tasks that came back not run for another cause")    \
+	X(tasks_lost, "Runs lost with a lease, worker, agent or link")        \
+	X(tasks_failed, "Runs that failed")                                   \
+	X(tasks_moved, "Runs moved away from sick workers")                   \
+	X(links_silent, "Links closed after silence")                         \
+	X(addrs_ignored, "Addresses of entries that cannot be used")          \
+	X(routings, "Routing tables put in force")                            \
+	X(verdicts_made, "Verdicts of interference made")                     \
+	X(verdicts_withdrawn, "Verdicts of interference withdrawn")           \
+	X(kept_apart, "Tasks sent away from a kind that they interfere with") \
+	X(not_apart, "Tasks sent to a kind that they interfere with")
 
 struct mlk_dispatch_counters {
 #define X(field, help) uint64_t field;
@@ -490,6 +506,18 @@
 	uint32_t queued; /* tasks waiting for a worker */
 	uint32_t in_flight; /* tasks sent to agents */
 	uint64_t routing_version;
+	uint32_t verdicts; /* of interference, in force */
+};
+
+/* What is known of the interference between two kinds of task. */
+struct mlk_interference_pair {
+	char kind[MLK_NAME_MAX + 8]; /* route/step, or a number if unknown */
+	char other[MLK_NAME_MAX + 8];
+	bool verdict; /* `kind` is slowed down beside `other` */
+	uint32_t slowdown; /* of the run time, in thousandths */
+	uint32_t bound; /* lower confidence bound of it */
+	uint32_t samples;
+	uint32_t agents; /* that measured it; 0: another entry knows */
 };
 
 struct mlk_dispatcher;
@@ -507,5 +535,11 @@
     const struct mlk_dispatcher *dispatcher);
 void mlk_dispatch_gauges(
     const struct mlk_dispatcher *dispatcher, struct mlk_dispatch_gauges *out);
+/*
+ * Copies the pairs, verdicts first, and returns their number.  *decides tells
+ * whether this entry makes the verdicts.
+ */
+uint32_t mlk_dispatcher_interference(const struct mlk_dispatcher *dispatcher,
+    struct mlk_interference_pair *pairs, uint32_t max, bool *decides);
 
 #endif
--- a/src/app/metrics.c
+++ b/src/app/metrics.c
@@ -128,6 +128,7 @@
 	G(queued, "Tasks waiting for a worker")
 	G(in_flight, "Tasks sent to agents and not ended")
 	G(routing_version, "Version of the routing table in effect")
+	G(verdicts, "Verdicts of interference in force")
 #undef G
 }
 
--- a/src/app/settings_site.c
+++ b/src/app/settings_site.c
@@ -15,6 +15,7 @@
 	uint32_t links_port;
 	int log_level;
 	int log_format;
+	int interference;
 	union {
 		struct mlk_site_entry_settings entry;
 		struct mlk_site_agent_settings agent;
@@ -26,29 +27,35 @@
 #define GRACE_MAX_MS 3600000
 #define LEASE_MAX_MS 60000
 
-#define SITE_RULES                                                            \
-	{ "id", RULE_NAME, SITE(id), true, 0, 0, 0, NULL },                   \
-	    { "dc", RULE_NAME, SITE(dc), true, 0, 0, 0, NULL },               \
-	    { "log.level", RULE_CHOICE, AT(log_level), false, 0, 0,           \
-		    MLK_LOG_INFO, settings_levels },                          \
-	    { "log.format", RULE_CHOICE, AT(log_format), false, 0, 0, 1,      \
-		    settings_formats },                                       \
-	    { "log.lines_per_s", RULE_UINT, SITE(log_lines_per_s), false, 1,  \
-		    100000, 50, NULL },                                       \
-	    { "store.address", RULE_ADDR, SITE(store_address), true, 0, 0, 0, \
-		    NULL },                                                   \
-	    { "metrics.listen", RULE_ADDR, SITE(metrics_listen), false, 0, 0, \
-		    0, NULL },                                                \
-	    { "entries", RULE_ADDR_LIST, AT(entries), false, 0, 0, 0, NULL }, \
-	    { "links.port", RULE_UINT, AT(links_port), false, 1, UINT16_MAX,  \
-		    0, NULL },                                                \
-	    { "timing.grace_s", RULE_S, SITE(grace_ms), false, 100,           \
-		    GRACE_MAX_MS, 6000, NULL },                               \
-	    { "timing.lease_ms", RULE_MS, SITE(lease_ms), false, 100,         \
-		    LEASE_MAX_MS, 1000, NULL },                               \
-	{                                                                     \
-		"timing.resend_ms", RULE_MS, SITE(resend_ms), false, 100,     \
-		    LEASE_MAX_MS, 1300, NULL                                  \
+/* In the order of enum mlk_interference_mode. */
+static const char *const interference_modes[] = { "off", "observe", "avoid",
+	NULL };
+
+#define SITE_RULES                                                             \
+	{ "id", RULE_NAME, SITE(id), true, 0, 0, 0, NULL },                    \
+	    { "dc", RULE_NAME, SITE(dc), true, 0, 0, 0, NULL },                \
+	    { "log.level", RULE_CHOICE, AT(log_level), false, 0, 0,            \
+		    MLK_LOG_INFO, settings_levels },                           \
+	    { "log.format", RULE_CHOICE, AT(log_format), false, 0, 0, 1,       \
+		    settings_formats },                                        \
+	    { "log.lines_per_s", RULE_UINT, SITE(log_lines_per_s), false, 1,   \
+		    100000, 50, NULL },                                        \
+	    { "store.address", RULE_ADDR, SITE(store_address), true, 0, 0, 0,  \
+		    NULL },                                                    \
+	    { "metrics.listen", RULE_ADDR, SITE(metrics_listen), false, 0, 0,  \
+		    0, NULL },                                                 \
+	    { "entries", RULE_ADDR_LIST, AT(entries), false, 0, 0, 0, NULL },  \
+	    { "links.port", RULE_UINT, AT(links_port), false, 1, UINT16_MAX,   \
+		    0, NULL },                                                 \
+	    { "timing.grace_s", RULE_S, SITE(grace_ms), false, 100,            \
+		    GRACE_MAX_MS, 6000, NULL },                                \
+	    { "interference.mode", RULE_CHOICE, AT(interference), false, 0, 0, \
+		    MLK_INTERFERENCE_OFF, interference_modes },                \
+	    { "timing.lease_ms", RULE_MS, SITE(lease_ms), false, 100,          \
+		    LEASE_MAX_MS, 1000, NULL },                                \
+	{                                                                      \
+		"timing.resend_ms", RULE_MS, SITE(resend_ms), false, 100,      \
+		    LEASE_MAX_MS, 1300, NULL                                   \
 	}
 
 static const struct rule entry_rules[] = {
@@ -96,6 +103,8 @@
 	}
 	target->site.log_level = (enum mlk_log_level)target->log_level;
 	target->site.log_json = target->log_format == 1;
+	target->site.interference =
+	    (enum mlk_interference_mode)target->interference;
 	for (i = 0; target->links_port != 0 && i < target->entries.n; i++) {
 		colon = strrchr(target->entries.items[i], ':');
 		(void)snprintf(colon,
--- a/src/dispatch/dispatcher.c
+++ b/src/dispatch/dispatcher.c
@@ -47,6 +47,7 @@
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
 	d->runtimes =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	d->interference = dispatch_interference_create(options->interference);
 	d->queue = g_sequence_new(NULL);
 	d->updated_agents = g_ptr_array_new();
 	d->new_jobs = g_array_new(FALSE, FALSE, sizeof(uint64_t));
@@ -61,6 +62,7 @@
 {
 	if (d == NULL)
 		return;
+	dispatch_interference_destroy(d->interference);
 	g_sequence_free(d->queue);
 	(void)g_ptr_array_free(d->updated_agents, TRUE);
 	(void)g_array_free(d->new_jobs, TRUE);
@@ -215,6 +217,7 @@
 		dispatch_agents_due(d);
 		dispatch_jobs_due(d);
 		dispatch_parked_due(d);
+		dispatch_interference_due(d);
 		d->place_due = true;
 	}
 	dispatch_place(d, ev->type == MLK_DISPATCH_TICK);
@@ -263,4 +266,5 @@
 	out->queued = d->nqueued;
 	out->in_flight = d->nsent;
 	out->routing_version = d->routing.version;
+	out->verdicts = dispatch_interference_count(d);
 }
--- a/src/dispatch/dispatcher_agents.c
+++ b/src/dispatch/dispatcher_agents.c
@@ -11,6 +11,8 @@
 {
 	struct agent *a = data;
 
+	if (a->seen != NULL)
+		(void)g_array_free(a->seen, TRUE);
 	(void)g_array_free(a->unacked, TRUE);
 	(void)g_ptr_array_free(a->tasks, TRUE);
 	g_free(a);
@@ -228,6 +230,8 @@
 	a->link = 0;
 	a->has_info = false;
 	a->want_tasks = 0;
+	if (a->seen != NULL)
+		(void)g_array_set_size(a->seen, 0);
 	a->detached_until = d->now + DETACHED_NS;
 	(void)g_array_set_size(a->unacked, 0);
 	for (i = 0; i < a->tasks->len; i++)
--- a/src/dispatch/dispatcher_links.c
+++ b/src/dispatch/dispatcher_links.c
@@ -284,6 +284,7 @@
 		l->kind = LINK_PEER_IN;
 		send_hello(d, l->link);
 	}
+	(void)g_strlcpy(l->id, info->id, sizeof(l->id));
 	p = l->kind == LINK_PEER_OUT ?
 	    l->peer :
 	    dispatch_peer_learn(d, info->addr, false);
@@ -343,6 +344,8 @@
 		dispatch_ends(d, a, msg);
 	else if (msg->type == MLK_MSG_OFFER)
 		dispatch_offer(d, a, msg);
+	else if (msg->type == MLK_MSG_CORUN)
+		dispatch_corun(d, a, msg);
 	else
 		dispatch_log(d, MLK_LOG_WARNING, NULL, a->id, "unexpected %s",
 		    mlk_msg_name(msg->type));
@@ -383,6 +386,9 @@
 	case MLK_MSG_ROUTES:
 		dispatch_routes(d, &msg->u.routes);
 		break;
+	case MLK_MSG_VERDICTS:
+		dispatch_verdicts(d, l, msg);
+		break;
 	default:
 		dispatch_log(d, MLK_LOG_WARNING, NULL, NULL,
 		    "unexpected %s on a link", mlk_msg_name(msg->type));
--- a/src/dispatch/dispatcher_place.c
+++ b/src/dispatch/dispatcher_place.c
@@ -143,7 +143,7 @@
 		f = mlk_resources_count(&free, need, n);
 		if (f == 0)
 			continue;
-		c = cost(a, &free, need, f, n);
+		c = cost(a, &free, need, f, n) + dispatch_apart_cost(d, a);
 		ties = c < best_cost ? 1 : ties + (c == best_cost);
 		if (c > best_cost ||
 		    (c == best_cost && mlk_rng_below(&d->rng, ties) != 0))
@@ -231,7 +231,9 @@
 	msg->u.run.offer = offer;
 	msg->u.run.movable = !d->use_sick;
 	msg->u.run.expected_ms = dispatch_runtime_expected_ms(d, job, step);
+	msg->u.run.kind = dispatch_kind(d, job, step);
 	assign_tasks(d, job, step, n, a, msg);
+	dispatch_apart_sent(d, a, msg->u.run.kind, n);
 	a->last_sent = d->now;
 	return (msg);
 }
@@ -261,6 +263,7 @@
 
 	for (step = 0; step < job->nsteps; step++) {
 		while ((n = queued_in_step(job, step)) > 0) {
+			dispatch_apart_begin(d, job, step);
 			a = choose_worker(
 			    d, job, &job->steps[step].resources, n, &fit);
 			if (a == NULL)
--- a/src/dispatch/dispatcher_priv.h
+++ b/src/dispatch/dispatcher_priv.h
@@ -78,6 +78,7 @@
 	enum link_kind kind;
 	struct agent *agent;
 	struct peer *peer;
+	char id[MLK_NAME_MAX]; /* of the peer; empty until its PEER_HELLO */
 };
 
 struct peer {
@@ -119,6 +120,11 @@
 	int64_t want_at; /* time of the last WANT sent */
 	uint32_t want_tasks; /* tasks in the last WANT */
 	int64_t want_start; /* urgency in the last WANT, as a time */
+	GArray *seen; /* kinds that interfere, at its worker; NULL: none */
+	uint32_t verdicts_link; /* on which it got the verdicts */
+	uint32_t nverdicts; /* that it got last */
+	uint64_t verdicts_generation;
+	int64_t verdicts_at;
 	int64_t detached_until; /* time at which its detached tasks count as
 				   lost; 0: none */
 };
@@ -240,6 +246,7 @@
 	uint32_t want_next; /* index of the first agent for the next WANT */
 	bool use_sick; /* unhealthy workers get tasks too, because too many are
 			  unhealthy to leave them out */
+	struct dispatch_interference *interference; /* NULL: mode off */
 	bool stopping;
 	int64_t stop_since;
 	bool exited;
@@ -313,6 +320,24 @@
     struct mlk_dispatcher *d, struct agent *a, const struct mlk_msg *msg);
 bool dispatch_pool_ready(const struct mlk_dispatcher *d, const char *pool);
 
+/* dispatcher_interference.c */
+struct dispatch_interference *dispatch_interference_create(
+    enum mlk_interference_mode mode);
+void dispatch_interference_destroy(struct dispatch_interference *x);
+uint32_t dispatch_kind(
+    struct mlk_dispatcher *d, const struct job *job, uint32_t step);
+void dispatch_corun(
+    struct mlk_dispatcher *d, struct agent *a, const struct mlk_msg *msg);
+void dispatch_verdicts(
+    struct mlk_dispatcher *d, const struct link *l, const struct mlk_msg *msg);
+void dispatch_interference_due(struct mlk_dispatcher *d);
+void dispatch_apart_begin(
+    struct mlk_dispatcher *d, const struct job *job, uint32_t step);
+uint32_t dispatch_apart_cost(const struct mlk_dispatcher *d, struct agent *a);
+void dispatch_apart_sent(
+    struct mlk_dispatcher *d, struct agent *a, uint32_t kind, uint32_t n);
+uint32_t dispatch_interference_count(const struct mlk_dispatcher *d);
+
 /* dispatcher_pace.c */
 int64_t dispatch_goal_ns(struct mlk_dispatcher *d, const struct job *job,
     uint32_t target_ms, uint32_t stretch, int64_t *work_ns);
--- a/src/dispatch/runner.c
+++ b/src/dispatch/runner.c
@@ -64,6 +64,8 @@
 	r->by_name = g_hash_table_new(name_hash, name_equal);
 	r->orders =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+	if (options->interference != MLK_INTERFERENCE_OFF)
+		r->corun = corun_create();
 	for (i = 0; i < options->nentries; i++)
 		(void)runner_entry_learn(r, options->entries[i], true, 0);
 	return (r);
@@ -80,8 +82,10 @@
 	for (i = 0; i < r->runs->len; i++) {
 		run = g_ptr_array_index(r->runs, i);
 		g_bytes_unref(run->spec);
+		g_free(run->corun);
 		g_free(run);
 	}
+	corun_destroy(r->corun);
 	g_hash_table_destroy(r->orders);
 	g_hash_table_destroy(r->by_name);
 	g_ptr_array_free(r->runs, TRUE);
@@ -274,6 +278,7 @@
 	runner_candidate_due(r);
 	runner_list_due(r);
 	stop_due(r);
+	runner_corun_due(r);
 	runner_links_flush(r);
 	r->out = NULL;
 	return (0);
--- a/src/dispatch/runner_links.c
+++ b/src/dispatch/runner_links.c
@@ -366,6 +366,10 @@
 	case MLK_MSG_PEERS:
 		on_peers(r, msg);
 		break;
+	case MLK_MSG_VERDICTS:
+		(void)note_sent_at(r, e, msg->u.verdicts.sent_at);
+		runner_corun_verdicts(r, msg);
+		break;
 	default:
 		runner_log(r, MLK_LOG_WARNING, NULL,
 		    "unexpected %s from entry %s", mlk_msg_name(msg->type),
--- a/src/dispatch/runner_listing.c
+++ b/src/dispatch/runner_listing.c
@@ -73,6 +73,7 @@
 		run->listed = r->list_number;
 		runner_run_confirmed(r, run);
 		health_run_progress(&run->health, listed->percent, r->now);
+		runner_corun_progress(r, run);
 	}
 	return (foreign);
 }
--- a/src/dispatch/runner_priv.h
+++ b/src/dispatch/runner_priv.h
@@ -23,6 +23,7 @@
 #include <monsoonlock/dispatch.h>
 
 #include "effects.h"
+#include "corun.h"
 #include "health.h"
 #include "skew.h"
 
@@ -111,6 +112,9 @@
 /* A discovered entry that was not reached for this long is forgotten. */
 #define ENTRY_FORGET_NS (60000 * MS)
 
+/* Kinds named in verdicts whose presence is reported, one bit each. */
+#define RUNNER_NAMED_MAX 32U
+
 enum run_state {
 	RUN_STARTING, /* start sent; -> ACTIVE, UNCONFIRMED, or ended without a
 			 run */
@@ -145,6 +149,10 @@
 	int64_t want_until; /* `want` is out of date after this time */
 	bool report_now; /* send WORKER at once */
 	struct mlk_worker_load reported_load;
+	uint32_t present; /* named kinds last reported to it as present */
+	uint32_t present_link; /* on which that was sent */
+	uint32_t present_changes; /* named_changes at that time */
+	int64_t present_at;
 };
 
 struct run {
@@ -155,6 +163,9 @@
 	struct mlk_resources resources;
 	GBytes *spec;
 	uint32_t expected_ms;
+	uint32_t kind; /* 0: interference is not measured */
+	uint32_t batch; /* tasks that came in the same message */
+	struct corun_run *corun; /* NULL: not measured */
 	bool movable; /* may be moved off an unhealthy worker */
 	struct health_run health;
 	int64_t deadline; /* the run is stopped at this time */
@@ -275,6 +286,13 @@
 	enum mlk_worker_state state; /* as last reported to entries */
 	bool takes_work; /* as last reported to entries */
 	uint64_t list_number;
+	struct corun *corun; /* NULL: mode off */
+	int64_t corun_at; /* of the last report */
+	int64_t kind_at; /* a measured run began last; 0: none has */
+	uint32_t named[RUNNER_NAMED_MAX]; /* kinds named in verdicts */
+	uint32_t nnamed;
+	uint32_t named_changes;
+	int64_t named_until; /* when they expire */
 	struct mlk_runner_effects *out; /* of the current event */
 };
 
@@ -336,6 +354,15 @@
 void runner_health_started(struct mlk_runner *r, bool answered);
 void runner_health_due(struct mlk_runner *r);
 
+/* runner_corun.c */
+void runner_corun_load(struct mlk_runner *r);
+void runner_corun_begin(struct mlk_runner *r, struct run *run);
+void runner_corun_progress(struct mlk_runner *r, const struct run *run);
+void runner_corun_end(
+    struct mlk_runner *r, struct run *run, enum mlk_run_end end);
+void runner_corun_verdicts(struct mlk_runner *r, const struct mlk_msg *msg);
+void runner_corun_due(struct mlk_runner *r);
+
 /* runner_worker.c */
 void runner_note_clock(struct mlk_runner *r, int64_t clock_ms);
 int64_t runner_lease_end(const struct mlk_runner *r);
--- a/src/dispatch/runner_runs.c
+++ b/src/dispatch/runner_runs.c
@@ -81,6 +81,7 @@
 		end = MLK_RUN_LOST;
 	mlk_resources_subtract(&r->reserved, &run->resources);
 	r->nactive--;
+	runner_corun_end(r, run, end);
 	count_end(r, end);
 	runner_health_ended(r, run, end);
 	queue_result(run->entry, run->job, run->name.step, run->name.index, end,
@@ -142,6 +143,8 @@
 	run->resources = task->resources;
 	run->spec = g_bytes_ref(spec);
 	run->expected_ms = msg->u.run.expected_ms;
+	run->kind = msg->u.run.kind;
+	run->batch = msg->u.run.n;
 	run->movable = msg->u.run.movable != 0;
 	run->deadline = r->now + (int64_t)msg->u.run.deadline_ms * MS;
 	run->stop_end = MLK_RUN_STOPPED;
@@ -150,6 +153,7 @@
 	e->nruns++;
 	mlk_resources_add(&r->reserved, &run->resources);
 	r->nactive++;
+	runner_corun_load(r);
 	runner_order_start(r, run);
 }
 
@@ -165,6 +169,7 @@
 	run->confirmed_at = r->now;
 	health_run_begin(
 	    &run->health, runner_job_key(run), run->expected_ms, r->now);
+	runner_corun_begin(r, run);
 	if (run->stop_wanted)
 		runner_run_stop(r, run, run->stop_end);
 }
