test: interference through dispatchers, runners and workers

Cause: only the measuring and the verdicts were tested, not the messages. Change: the world has a route for each kind of job and workers on which heavy and light tasks halve each other's speed; a dispatcher follows a verdict of a peer without making a task wait; the setting is checked.

--- a/src/dispatch/runner_corun.c
+++ b/src/dispatch/runner_corun.c
@@ -26,10 +26,11 @@
 {
 	uint64_t cap = MAX(r->worker.info.capacity.cpu, 1);
 
-	if (r->corun != NULL)
-		corun_utilisation(r->corun,
-		    (uint32_t)MIN(r->reserved.cpu * UINT64_C(1000) / cap, 1000),
-		    r->now);
+	if (r->corun == NULL)
+		return;
+	corun_utilisation(r->corun,
+	    (uint32_t)MIN(r->reserved.cpu * UINT64_C(1000) / cap, 1000),
+	    r->now);
 }
 
 /*
--- a/test/dispatch_bench.c
+++ b/test/dispatch_bench.c
@@ -16,7 +16,8 @@
 #define TASK_MEM_MB 64
 
 void
-bench_init(struct dispatch_bench *b)
+bench_init_as(struct dispatch_bench *b, const char *id,
+    enum mlk_interference_mode interference)
 {
 	struct mlk_dispatcher_options options;
 
@@ -24,7 +25,8 @@
 	b->now = 1000 * BENCH_MS;
 	b->estimate_ms = 50;
 	mlk_dispatcher_options_default(&options);
-	strcpy(options.self.id, "entry-1");
+	(void)g_strlcpy(options.self.id, id, sizeof(options.self.id));
+	options.interference = interference;
 	strcpy(options.self.dc, "dc-a");
 	strcpy(options.self.addr, "10.0.0.1:7000");
 	options.self.incarnation = 1;
@@ -33,6 +35,12 @@
 	assert_non_null(b->d);
 }
 
+void
+bench_init(struct dispatch_bench *b)
+{
+	bench_init_as(b, "entry-1", MLK_INTERFERENCE_OFF);
+}
+
 void
 bench_free(struct dispatch_bench *b)
 {
@@ -104,8 +112,8 @@
 	bench_apply(b, &ev);
 }
 
-static void
-deliver(struct dispatch_bench *b, uint32_t link, struct mlk_msg *msg)
+void
+bench_deliver(struct dispatch_bench *b, uint32_t link, struct mlk_msg *msg)
 {
 	struct mlk_dispatch_event ev = { .type = MLK_DISPATCH_MSG };
 
@@ -136,7 +144,7 @@
 	strcpy(msg.u.worker.info.pool, BENCH_POOL);
 	msg.u.worker.load.free = a->free;
 	msg.u.worker.load.running = a->running;
-	deliver(b, a->link, &msg);
+	bench_deliver(b, a->link, &msg);
 }
 
 void
@@ -157,7 +165,7 @@
 	(void)g_strlcpy(msg.u.attach.id, a->id, sizeof(msg.u.attach.id));
 	snprintf(msg.u.attach.dc, sizeof(msg.u.attach.dc), "%s", dc);
 	msg.u.attach.incarnation = a->link;
-	deliver(b, a->link, &msg);
+	bench_deliver(b, a->link, &msg);
 	bench_report_worker(b, a, MLK_WORKER_READY);
 }
 
@@ -173,13 +181,13 @@
 	snprintf(self->id, sizeof(self->id), "peer-%u", number);
 	snprintf(self->addr, sizeof(self->addr), "10.0.1.%u:7000", number);
 	self->incarnation = b->last_link;
-	deliver(b, b->last_link, &msg);
+	bench_deliver(b, b->last_link, &msg);
 	/* The entry connects to the peer as well. */
 	bench_advance(b, 2 * TICK_MS);
 	ev.u.link.link = ++b->last_link;
 	ev.u.link.connect = b->last_connect;
 	bench_apply(b, &ev);
-	deliver(b, b->last_link, &msg);
+	bench_deliver(b, b->last_link, &msg);
 }
 
 void
@@ -232,7 +240,7 @@
 	msg.u.offer.offer = offer;
 	msg.u.offer.resources.cpu = cpu;
 	msg.u.offer.resources.mem_mb = TASK_MEM_MB * 8;
-	deliver(b, a->link, &msg);
+	bench_deliver(b, a->link, &msg);
 }
 
 void
@@ -290,7 +298,7 @@
 	msg.u.ends.load.running = a->running;
 	msg.u.ends.n = 1;
 	msg.u.ends.items = &result;
-	deliver(b, a->link, &msg);
+	bench_deliver(b, a->link, &msg);
 }
 
 const struct bench_answer *
--- a/test/dispatch_bench.h
+++ b/test/dispatch_bench.h
@@ -46,6 +46,9 @@
 };
 
 void bench_init(struct dispatch_bench *b);
+/* The same, for an entry with this id. */
+void bench_init_as(struct dispatch_bench *b, const char *id,
+    enum mlk_interference_mode interference);
 void bench_free(struct dispatch_bench *b);
 void bench_apply(struct dispatch_bench *b, struct mlk_dispatch_event *ev);
 /* Advances the time by `ms`, with a tick every 20 ms; ends early on EXIT. */
@@ -54,6 +57,9 @@
 /* Applies a routing table with one route. */
 void bench_set_routes(
     struct dispatch_bench *b, uint64_t version, uint32_t attempts);
+/* Delivers a message on a link. */
+void bench_deliver(
+    struct dispatch_bench *b, uint32_t link, struct mlk_msg *msg);
 /* Connects a new agent, which attaches and reports a ready, idle worker. */
 void bench_attach(struct dispatch_bench *b, struct bench_agent *a,
     const char *id, const char *dc, uint32_t cpu);
--- a/test/dispatch_world.c
+++ b/test/dispatch_world.c
@@ -17,6 +17,7 @@
 #define ATTEMPTS_MAX 3 /* an unanswered job is given up after these */
 #define TASKS_MAX 12
 #define TARGET_MS 60
+#define KINDS 3 /* of jobs */
 #define STRETCH 1600 /* of a route, thousandths of the run time */
 /* Enough for three attempts of the longest deadline. */
 #define SETTLE_MS 200000
@@ -92,6 +93,7 @@
 struct world_job {
 	char id[MLK_ID_MAX];
 	uint32_t count;
+	uint32_t kind; /* 1 quick, 2 heavy, 3 light */
 	uint32_t cpu; /* of each task, thousandths of a core */
 	uint32_t work_ms[TASKS_MAX];
 	uint32_t estimate_ms;
@@ -287,17 +289,17 @@
 start_entry(struct world *w, uint32_t i)
 {
 	struct mlk_dispatch_event ev = { .type = MLK_DISPATCH_ROUTES };
-	struct mlk_route route = { .timeout_ms = 1500,
-		.target_ms = TARGET_MS,
-		.attempts = 3,
-		.stretch = STRETCH };
+	struct mlk_route routes[KINDS + 1] = { 0 };
 	struct mlk_routing routing = {
-		.version = 1, .nroutes = 1, .routes = &route
+		.version = 1, .nroutes = KINDS + 1, .routes = routes
 	};
 	struct world_entry *e = &w->entries[i];
 	struct mlk_dispatcher_options options;
+	uint32_t k;
 
 	mlk_dispatcher_options_default(&options);
+	if (w->options.interference)
+		options.interference = MLK_INTERFERENCE_AVOID;
 	(void)snprintf(options.self.id, sizeof(options.self.id), "entry-%u", i);
 	(void)snprintf(options.self.dc, sizeof(options.self.dc), "dc-%u", i);
 	(void)snprintf(e->addr, sizeof(e->addr), "10.0.0.%u:7000", i + 1);
@@ -309,10 +311,18 @@
 	e->up = true;
 	e->paused_until = 0;
 	e->d = mlk_dispatcher_create(&options);
-	strcpy(route.host, "h");
-	strcpy(route.prefix, "/");
-	strcpy(route.name, "r");
-	strcpy(route.pool, "pool-a");
+	for (k = 0; k <= KINDS; k++) {
+		routes[k].timeout_ms = 1500;
+		routes[k].target_ms = TARGET_MS;
+		routes[k].attempts = 3;
+		routes[k].stretch = STRETCH;
+		strcpy(routes[k].host, "h");
+		(void)snprintf(routes[k].prefix, sizeof(routes[k].prefix),
+		    k == 0 ? "/" : "/%u/", k);
+		(void)snprintf(
+		    routes[k].name, sizeof(routes[k].name), "r%u", k);
+		strcpy(routes[k].pool, "pool-a");
+	}
 	ev.u.routes = &routing;
 	apply_entry(w, i, &ev);
 	push(w, w->now + 1 + below(w, TICK_MS), EV_TICK_ENTRY, i)->generation =
@@ -338,6 +348,8 @@
 		    addrs[k], sizeof(addrs[k]), "10.0.0.%u:7000", k + 1);
 	options.nentries = w->options.entries;
 	options.entries = addrs;
+	if (w->options.interference)
+		options.interference = MLK_INTERFERENCE_AVOID;
 	a->generation = w->last_generation;
 	a->up = true;
 	a->paused_until = 0;
@@ -622,6 +634,17 @@
 	}
 }
 
+/*
+ * Heavy and light tasks slow each other down.
+ */
+static void
+set_kind(struct fake_run *run, uint32_t kind)
+{
+	run->kind = kind;
+	if (kind > 1)
+		run->slowed_by = kind == 2 ? 3 : 2;
+}
+
 /*
  * Schedules the result of an order.  If it is an answer, `boot` is that of the
  * worker, else 0: an answer is lost if the worker goes down first.
@@ -684,6 +707,8 @@
 	before = a->worker.nruns;
 	log_order(w, ev);
 	fake_worker_order(&a->worker, &ev->order, &resources, work_ms, &result);
+	if (a->worker.nruns > before && job != NULL && w->options.interference)
+		set_kind(&a->worker.runs[before], job->kind);
 	if (a->worker.nruns > before)
 		check_start(w, ev->index, &ev->order.name);
 	if (!ev->answered)
@@ -961,6 +986,7 @@
 	struct mlk_step step = { 0 };
 	struct mlk_work work = { 0 };
 	const struct world_job *job = job_by_index(w, ev->job);
+	char path[16] = "/";
 
 	if (!w->entries[ev->index].up ||
 	    w->entries[ev->index].generation != ev->generation)
@@ -977,7 +1003,9 @@
 	dev.u.submit.request = ev->request;
 	dev.u.submit.request_id = job->id;
 	dev.u.submit.host = "h";
-	dev.u.submit.path = "/";
+	if (w->options.interference)
+		(void)snprintf(path, sizeof(path), "/%u/", job->kind);
+	dev.u.submit.path = path;
 	dev.u.submit.deadline_ms = job->deadline_ms;
 	dev.u.submit.work = &work;
 	apply_entry(w, ev->index, &dev);
@@ -1095,7 +1123,7 @@
 		uint32_t weight;
 		uint32_t count;
 		uint32_t work_ms;
-	} kinds[] = { { 25, 8, 50 }, { 15, 4, 760 }, { 60, 2, 170 } };
+	} kinds[KINDS] = { { 25, 8, 50 }, { 15, 4, 760 }, { 60, 2, 170 } };
 	uint32_t i, k, x = below(w, 100), mean, per_s = w->options.jobs_per_s;
 	struct world_job *job;
 
@@ -1110,6 +1138,7 @@
 	job = g_new0(struct world_job, 1);
 	(void)snprintf(
 	    job->id, sizeof(job->id), "%016" PRIx64, mlk_rng_next(&w->rng));
+	job->kind = k + 1;
 	job->count = 1 + below(w, kinds[k].count + kinds[k].count / 2);
 	if (job->count > TASKS_MAX)
 		job->count = TASKS_MAX;
@@ -1766,12 +1795,34 @@
 	return (w->violation[0] == '\0' ? NULL : w->violation);
 }
 
+static void
+read_verdicts(const struct mlk_dispatcher *d, struct world_stats *out)
+{
+	struct mlk_interference_pair pairs[MLK_VERDICTS_MAX];
+	bool decides;
+	uint32_t i, n;
+
+	n = mlk_dispatcher_interference(d, pairs, MLK_VERDICTS_MAX, &decides);
+	for (i = 0; i < n; i++) {
+		if (!pairs[i].verdict)
+			continue;
+		out->verdicts++;
+		if (strcmp(pairs[i].kind, "r1/0") == 0 ||
+		    strcmp(pairs[i].other, "r1/0") == 0 ||
+		    strcmp(pairs[i].kind, pairs[i].other) == 0)
+			out->wrong_verdicts++;
+	}
+	out->kept_apart = (uint32_t)mlk_dispatch_counters(d)->kept_apart;
+}
+
 void
 world_read_stats(const struct world *w, struct world_stats *out)
 {
 	uint32_t i;
 
 	*out = w->stats;
+	if (w->entries[0].d != NULL)
+		read_verdicts(w->entries[0].d, out);
 	for (i = 0; i < w->options.agents; i++) {
 		if (w->agents[i].r == NULL)
 			continue;
--- a/test/dispatch_world.h
+++ b/test/dispatch_world.h
@@ -72,6 +72,11 @@
 	int64_t burst_at;
 	uint32_t burst_ms;
 	uint32_t burst_factor;
+	/*
+	 * Entries and agents avoid interference; light and heavy tasks halve
+	 * each other's speed, and each kind of task has its own route.
+	 */
+	bool interference;
 	bool retry_refused; /* refused callers send again after Retry-After */
 };
 
@@ -105,6 +110,9 @@
 	uint32_t gone; /* callers that disconnected early for good */
 	uint32_t unanswered; /* jobs without an answer at the end */
 	uint32_t runs; /* started at the workers */
+	uint32_t verdicts; /* of interference, in force at entry 0 */
+	uint32_t wrong_verdicts; /* of them, on other pairs */
+	uint32_t kept_apart; /* tasks, by entry 0 */
 	uint32_t tasks_refused; /* by the agents that are up at the end */
 };
 
--- a/test/fake_worker.c
+++ b/test/fake_worker.c
@@ -50,6 +50,21 @@
 	w->runs[i] = w->runs[--w->nruns];
 }
 
+/*
+ * Tells whether a run of the kind that slows a run down is active.
+ */
+static bool
+is_slowed(const struct fake_worker *w, const struct fake_run *run)
+{
+	uint32_t i;
+
+	for (i = 0; run->slowed_by != 0 && i < w->nruns; i++) {
+		if (w->runs[i].kind == run->slowed_by)
+			return (true);
+	}
+	return (false);
+}
+
 /*
  * Ends the runs that are complete or stopped, and all runs if the lease has
  * expired.
@@ -63,7 +78,7 @@
 	w->now++;
 	for (i = w->nruns; i > 0; i--) {
 		run = &w->runs[i - 1];
-		run->done_ms += w->speed;
+		run->done_ms += is_slowed(w, run) ? w->speed / 2 : w->speed;
 		if (run->stop_at != 0 && w->now >= run->stop_at)
 			end_run(w, i - 1, MLK_LISTED_STOPPED);
 		else if (run->done_ms >= run->work_ms)
--- a/test/fake_worker.h
+++ b/test/fake_worker.h
@@ -18,6 +18,8 @@
 	double work_ms; /* run time at speed 1 */
 	double done_ms; /* part of work_ms that is done */
 	int64_t stop_at; /* ms; 0: no stop requested */
+	uint32_t slowed_by; /* kind that halves its speed; 0: none */
+	uint32_t kind;
 };
 
 struct fake_worker {
--- a/test/test_dispatcher.c
+++ b/test/test_dispatcher.c
@@ -795,6 +795,119 @@
 	assert_true(b->exited);
 }
 
+static void
+send_verdict(struct dispatch_bench *b, uint32_t link, uint32_t kind)
+{
+	struct mlk_verdict verdict = { kind, kind, 2000, 1500, 100 };
+	struct mlk_msg msg = { .type = MLK_MSG_VERDICTS };
+
+	msg.u.verdicts.n = 1;
+	msg.u.verdicts.items = &verdict;
+	bench_deliver(b, link, &msg);
+}
+
+static void
+send_present(struct dispatch_bench *b, struct bench_agent *a, uint32_t kind)
+{
+	struct mlk_corun row = { .kind = kind, .samples = 1 };
+	struct mlk_msg msg = { .type = MLK_MSG_CORUN };
+
+	msg.u.corun.n = 1;
+	msg.u.corun.items = &row;
+	bench_deliver(b, a->link, &msg);
+}
+
+/*
+ * Submits a job of one task, ends it, and returns its kind and its agent.
+ */
+static uint32_t
+run_one(struct dispatch_bench *b, struct bench_agent *agents, uint32_t *at)
+{
+	const struct mlk_msg *msg = NULL;
+	uint64_t handle;
+	uint32_t kind;
+
+	(void)bench_submit(b, "job", 1, 6000, 2000);
+	for (*at = 0; *at < 2 && msg == NULL; (*at)++)
+		msg = bench_sent(b, &agents[*at], MLK_MSG_RUN, 0);
+	assert_non_null(msg);
+	(*at)--;
+	handle = msg->u.run.job;
+	kind = msg->u.run.kind;
+	agents[*at].seen = msg->u.run.seq;
+	bench_end_run(b, &agents[*at], handle, 0, MLK_RUN_DONE);
+	return (kind);
+}
+
+/*
+ * Guards against a verdict that placement does not follow, and against a task
+ * that waits, or a job that is refused, because of one.
+ */
+static void
+test_interfering_kinds_are_kept_apart(void **state)
+{
+	struct mlk_msg report = { .type = MLK_MSG_CORUN };
+	const struct mlk_dispatch_counters *counters;
+	struct dispatch_bench bench, *b = &bench;
+	struct bench_agent a[2];
+	uint32_t kind, at, link;
+
+	(void)state;
+	bench_init_as(b, "zone", MLK_INTERFERENCE_AVOID);
+	bench_set_routes(b, 1, 2);
+	bench_add_peer(b, 1);
+	link = b->last_link - 1; /* the one that the peer has opened */
+	bench_attach(b, &a[0], "agent-1", "dc-a", CPU);
+	bench_attach(b, &a[1], "agent-2", "dc-a", CPU);
+	a[1].free.cpu = CPU * 3 / 4;
+	bench_report_worker(b, &a[1], MLK_WORKER_READY);
+	kind = run_one(b, a, &at);
+	assert_int_equal(at, 0);
+	assert_int_not_equal(kind, 0);
+	bench_deliver(b, a[0].link, &report);
+	assert_null(bench_sent(b, &a[0], MLK_MSG_VERDICTS, 0));
+
+	send_verdict(b, link, kind);
+	send_present(b, &a[0], kind);
+	(void)run_one(b, a, &at);
+	assert_int_equal(at, 1);
+	counters = mlk_dispatch_counters(b->d);
+	assert_int_equal(counters->verdicts_made, 1);
+	assert_int_equal(counters->kept_apart, 1);
+	bench_deliver(b, a[0].link, &report);
+	assert_non_null(bench_sent(b, &a[0], MLK_MSG_VERDICTS, 0));
+
+	a[1].free.cpu = 0;
+	bench_report_worker(b, &a[1], MLK_WORKER_READY);
+	(void)run_one(b, a, &at);
+	assert_int_equal(at, 0);
+	assert_int_equal(counters->not_apart, 1);
+
+	/* The peer is gone, so this entry decides, and measures nothing. */
+	bench_advance(b, 58000);
+	assert_int_equal(counters->verdicts_withdrawn, 0);
+	bench_advance(b, 10000);
+	assert_int_equal(counters->verdicts_withdrawn, 1);
+	bench_free(b);
+}
+
+/* Guards against kinds, and answers to reports, while the mode is off. */
+static void
+test_interference_off(void **state)
+{
+	struct mlk_msg report = { .type = MLK_MSG_CORUN };
+	struct dispatch_bench *b = *state;
+	struct bench_agent a[2];
+	uint32_t at;
+
+	bench_add_peer(b, 1);
+	bench_attach(b, &a[0], "agent-1", "dc-a", CPU);
+	bench_attach(b, &a[1], "agent-2", "dc-a", CPU);
+	assert_int_equal(run_one(b, a, &at), 0);
+	bench_deliver(b, a[0].link, &report);
+	assert_int_equal(b->fx.n, 0);
+}
+
 int
 main(void)
 {
@@ -829,6 +942,8 @@
 		TEST(test_odd_entry_addresses),
 		TEST(test_older_routing_is_ignored),
 		TEST(test_planned_stop),
+		cmocka_unit_test(test_interfering_kinds_are_kept_apart),
+		TEST(test_interference_off),
 	};
 #undef TEST
 
--- a/test/test_runner.c
+++ b/test/test_runner.c
@@ -286,6 +286,39 @@
 	    sum.retried * RETRIED_COMPLETED_PERCENT);
 }
 
+/*
+ * Heavy and light tasks halve each other's speed.  Guards against a chain from
+ * listings over reports to placement that is broken at one place, and against
+ * verdicts on other pairs.
+ */
+static void
+test_interference_is_found(void **state)
+{
+	struct world_options options = { .entries = 1,
+		.agents = 6,
+		.jobs_per_s = 20,
+		.cpu = 64000,
+		.interference = true };
+	struct world_stats stats;
+	uint32_t verdicts = 0;
+	struct world *w;
+
+	(void)state;
+	for (options.seed = 1; options.seed <= SEEDS; options.seed++) {
+		w = world_create(&options);
+		world_run(w, 21000);
+		fail_if_violated(w, options.seed);
+		world_read_stats(w, &stats);
+		world_destroy(w);
+		verdicts += stats.verdicts;
+		assert_int_equal(stats.wrong_verdicts, 0);
+		assert_true(stats.verdicts > 0);
+		assert_true(stats.kept_apart > 0);
+	}
+	/* Two for each seed; one may just have been reviewed or not be made. */
+	assert_in_range(verdicts, 2 * SEEDS - 2, 2 * SEEDS);
+}
+
 int
 main(void)
 {
@@ -320,6 +353,7 @@
 		cmocka_unit_test(test_refusals_do_not_loop),
 		cmocka_unit_test(test_restarts_under_load),
 		cmocka_unit_test(test_retries_after_burst),
+		cmocka_unit_test(test_interference_is_found),
 	};
 
 	return (cmocka_run_group_tests(tests, NULL, NULL));
--- a/test/test_settings.c
+++ b/test/test_settings.c
@@ -412,6 +412,29 @@
 	assert_non_null(strstr(err.msg, "links.advertise: expected ip:port"));
 }
 
+/* Guards against a mode that is not read, or a misspelt one that is ignored. */
+static void
+test_interference_mode(void **state)
+{
+	struct mlk_site_entry_settings *s = NULL;
+	struct mlk_error err = { 0 };
+
+	(void)state;
+	write_file(SITE_ENTRY "links: {listen: '10.0.0.1:70'}\n");
+	assert_int_equal(mlk_site_entry_settings_load(file, &s, &err), 0);
+	assert_int_equal(s->site.interference, MLK_INTERFERENCE_OFF);
+	mlk_site_entry_settings_free(s);
+	write_file(SITE_ENTRY
+	    "links: {listen: '10.0.0.1:70'}\ninterference: {mode: avoid}\n");
+	assert_int_equal(mlk_site_entry_settings_load(file, &s, &err), 0);
+	assert_int_equal(s->site.interference, MLK_INTERFERENCE_AVOID);
+	mlk_site_entry_settings_free(s);
+	write_file(SITE_ENTRY
+	    "links: {listen: '10.0.0.1:70'}\ninterference: {mode: evade}\n");
+	assert_int_equal(
+	    mlk_site_entry_settings_load(file, &s, &err), MLK_ERR_SETTINGS);
+}
+
 int
 main(void)
 {
@@ -427,6 +450,7 @@
 		cmocka_unit_test(test_log_lines),
 		cmocka_unit_test(test_metrics_text),
 		cmocka_unit_test(test_advertised_links),
+		cmocka_unit_test(test_interference_mode),
 	};
 
 	return (cmocka_run_group_tests(tests, create_file, remove_file));
