dispatch, app: pairs of routes that operators pin as interfering

Cause: operators may know pairs that are not, or not yet, measured. Change: interference.pairs of an entry; verdicts on their kinds that are never withdrawn.

--- a/include/monsoonlock/app.h
+++ b/include/monsoonlock/app.h
@@ -109,6 +109,8 @@
 	char links_advertise[MLK_ADDR_MAX]; /* address that others connect to */
 	uint32_t max_connections;
 	uint32_t max_jobs;
+	uint32_t npairs; /* of routes, pinned as interfering */
+	struct mlk_route_pair *pairs;
 };
 
 struct mlk_site_agent_settings {
--- a/include/monsoonlock/dispatch.h
+++ b/include/monsoonlock/dispatch.h
@@ -101,6 +101,12 @@
 				   kind */
 };
 
+/* Routes whose tasks are known to slow each other down. */
+struct mlk_route_pair {
+	char a[MLK_NAME_MAX];
+	char b[MLK_NAME_MAX];
+};
+
 /* ---- runner ------------------------------------------------------------- */
 
 /* Identifies one run at the worker. */
@@ -457,6 +463,8 @@
 	uint32_t max_jobs;
 	uint32_t grace_ms; /* from the stop event to EXIT */
 	enum mlk_interference_mode interference;
+	uint32_t npairs; /* pinned pairs of routes */
+	struct mlk_route_pair *pairs;
 	uint32_t nentries; /* addresses from the settings */
 	char (*entries)[MLK_ADDR_MAX];
 };
@@ -514,6 +522,7 @@
 	char kind[MLK_NAME_MAX + 8]; /* route/step, or a number if unknown */
 	char other[MLK_NAME_MAX + 8];
 	bool verdict; /* `kind` is slowed down beside `other` */
+	bool pinned; /* by the settings of this entry */
 	uint32_t slowdown; /* of the run time, in thousandths */
 	uint32_t bound; /* lower confidence bound of it */
 	uint32_t samples;
--- a/src/app/settings.c
+++ b/src/app/settings.c
@@ -262,6 +262,10 @@
 	case RULE_ADDR_LIST:
 		(void)snprintf(out, size, "a list of ip:port");
 		break;
+	case RULE_PAIR_LIST:
+		(void)snprintf(out, size,
+		    "a list of at most %" PRId64 " \"ROUTE ROUTE\"", rule->max);
+		break;
 	case RULE_TOKENS:
 		(void)snprintf(out, size, "a list of {name, role, token}");
 		break;
@@ -298,6 +302,7 @@
 		value.data_size = sizeof(int64_t);
 		break;
 	case RULE_ADDR_LIST:
+	case RULE_PAIR_LIST:
 		value.type = CYAML_SEQUENCE;
 		value.data_size = sizeof(char *);
 		value.sequence.entry = &addr_schema;
@@ -585,6 +590,44 @@
 	return (0);
 }
 
+static bool
+parse_pair(const char *text, struct mlk_route_pair *out)
+{
+	gchar **names;
+	bool valid;
+
+	names = g_strsplit(text, " ", 3);
+	valid = g_strv_length(names) == 2 && name_valid(names[0]) &&
+	    name_valid(names[1]);
+	if (valid) {
+		(void)g_strlcpy(out->a, names[0], sizeof(out->a));
+		(void)g_strlcpy(out->b, names[1], sizeof(out->b));
+	}
+	g_strfreev(names);
+	return (valid);
+}
+
+static int
+apply_pair_list(const struct source *src, const struct rule *rule,
+    char **values, uint32_t n, struct pair_list *out, struct mlk_error *err)
+{
+	char key[MLK_NAME_MAX];
+	uint32_t i;
+
+	if (n > rule->max)
+		return (reject_rule(src, rule, "more", err));
+	out->items = g_malloc0_n(n, sizeof(*out->items));
+	for (i = 0; i < n; i++) {
+		if (parse_pair(values[i], &out->items[i]))
+			continue;
+		(void)snprintf(key, sizeof(key), "%s[%u]", rule->key, i + 1);
+		return (reject(src, key, "two names separated by a space",
+		    values[i], err));
+	}
+	out->n = n;
+	return (0);
+}
+
 static int
 apply_token(const struct source *src, const char *key,
     const struct raw_token *raw, struct mlk_token *out, struct mlk_error *err)
@@ -701,6 +744,9 @@
 	case RULE_ADDR_LIST:
 		return (apply_addr_list(src, rule, raw->value[rule_index],
 		    raw->count[rule_index], target, err));
+	case RULE_PAIR_LIST:
+		return (apply_pair_list(src, rule, raw->value[rule_index],
+		    raw->count[rule_index], target, err));
 	case RULE_MS:
 	case RULE_S:
 		return (apply_decimal(src, rule, text, target, err));
--- a/src/app/settings.h
+++ b/src/app/settings.h
@@ -15,6 +15,7 @@
 	RULE_ADDR, /* char[MLK_ADDR_MAX], ip:port */
 	RULE_PATH, /* char[MLK_PATH_MAX] */
 	RULE_ADDR_LIST, /* struct addr_list */
+	RULE_PAIR_LIST, /* struct pair_list; "ROUTE ROUTE", at most max */
 	RULE_TOKENS, /* struct mlk_tokens */
 	RULE_MS, /* uint32_t in ms; a decimal number, rounded */
 	RULE_S, /* as RULE_MS, but the file has seconds; min and max are ms */
@@ -25,6 +26,11 @@
 	char (*items)[MLK_ADDR_MAX];
 };
 
+struct pair_list {
+	uint32_t n;
+	struct mlk_route_pair *items;
+};
+
 struct rule {
 	const char *key; /* "name" or "group.name" */
 	enum rule_kind kind;
--- a/src/app/settings_site.c
+++ b/src/app/settings_site.c
@@ -12,6 +12,7 @@
 struct site_target {
 	struct mlk_site_settings site;
 	struct addr_list entries;
+	struct pair_list pairs;
 	uint32_t links_port;
 	int log_level;
 	int log_format;
@@ -26,6 +27,8 @@
 #define SITE(member) AT(site.member)
 #define GRACE_MAX_MS 3600000
 #define LEASE_MAX_MS 60000
+/* Each pair takes at least two of MLK_VERDICTS_MAX verdicts. */
+#define PAIRS_MAX 16
 
 /* In the order of enum mlk_interference_mode. */
 static const char *const interference_modes[] = { "off", "observe", "avoid",
@@ -70,6 +73,8 @@
 	    false, 1, 1000000, 3000, NULL },
 	{ "callers.max_jobs", RULE_UINT, AT(u.entry.max_jobs), false, 1,
 	    1000000, 20000, NULL },
+	{ "interference.pairs", RULE_PAIR_LIST, AT(pairs), false, 0, PAIRS_MAX,
+	    0, NULL },
 	{ "readiness.listen", RULE_ADDR, AT(u.entry.readiness_listen), true, 0,
 	    0, 0, NULL },
 };
@@ -98,6 +103,7 @@
 	memset(target, 0, sizeof(*target));
 	rc = settings_read(path, rules, nrules, target, err);
 	if (rc != 0) {
+		g_free(target->pairs.items);
 		g_free(target->entries.items);
 		return (rc);
 	}
@@ -148,10 +154,13 @@
 		return (rc);
 	rc = default_advertise(path, &target.u.entry, err);
 	if (rc != 0) {
+		g_free(target.pairs.items);
 		g_free(target.entries.items);
 		return (rc);
 	}
 	target.u.entry.site = target.site;
+	target.u.entry.npairs = target.pairs.n;
+	target.u.entry.pairs = target.pairs.items;
 	*out = g_memdup2(&target.u.entry, sizeof(target.u.entry));
 	return (0);
 }
@@ -164,6 +173,7 @@
 {
 	if (settings == NULL)
 		return;
+	g_free(settings->pairs);
 	g_free(settings->site.entries);
 	g_free(settings);
 }
--- a/src/dispatch/dispatcher.c
+++ b/src/dispatch/dispatcher.c
@@ -35,6 +35,7 @@
 	d = g_new0(struct mlk_dispatcher, 1);
 	d->options = *options;
 	d->options.entries = NULL;
+	d->options.pairs = NULL;
 	mlk_rng_seed(&d->rng, options->seed);
 	d->links =
 	    g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
@@ -47,7 +48,7 @@
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
 	d->runtimes =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	d->interference = dispatch_interference_create(options->interference);
+	d->interference = dispatch_interference_create(options);
 	d->queue = g_sequence_new(NULL);
 	d->updated_agents = g_ptr_array_new();
 	d->new_jobs = g_array_new(FALSE, FALSE, sizeof(uint64_t));
--- a/src/dispatch/dispatcher_interference.c
+++ b/src/dispatch/dispatcher_interference.c
@@ -41,6 +41,8 @@
 struct dispatch_interference {
 	struct interference *verdicts;
 	enum mlk_interference_mode mode;
+	uint32_t npairs; /* pinned */
+	struct mlk_route_pair *pairs;
 	GHashTable *names; /* kind -> route/step */
 	int64_t judge_at;
 	char sender[MLK_NAME_MAX]; /* entry whose verdicts are used */
@@ -54,15 +56,19 @@
  * Returns NULL when interference is not measured.
  */
 struct dispatch_interference *
-dispatch_interference_create(enum mlk_interference_mode mode)
+dispatch_interference_create(const struct mlk_dispatcher_options *options)
 {
 	struct dispatch_interference *x;
 
-	if (mode == MLK_INTERFERENCE_OFF)
+	if (options->interference == MLK_INTERFERENCE_OFF)
 		return (NULL);
 	x = g_new0(struct dispatch_interference, 1);
 	x->verdicts = interference_create();
-	x->mode = mode;
+	x->mode = options->interference;
+	x->npairs = options->npairs;
+	if (options->npairs > 0)
+		x->pairs = g_memdup2(
+		    options->pairs, options->npairs * sizeof(*options->pairs));
 	x->names =
 	    g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
 	return (x);
@@ -75,6 +81,7 @@
 		return;
 	interference_destroy(x->verdicts);
 	g_hash_table_destroy(x->names);
+	g_free(x->pairs);
 	g_free(x);
 }
 
@@ -91,6 +98,46 @@
 	return (kind == 0 ? 1 : kind);
 }
 
+static bool
+is_of_route(const char *name, const char *route)
+{
+	size_t len = strlen(route);
+
+	return (strncmp(name, route, len) == 0 && name[len] == '/' &&
+	    strchr(name + len + 1, '/') == NULL);
+}
+
+/*
+ * Pins a kind that this entry sends for the first time together with the known
+ * kinds of the routes that it is pinned with.
+ */
+static void
+pin_kind(struct dispatch_interference *x, const char *route, uint32_t kind)
+{
+	const char *with;
+	gpointer key, name;
+	GHashTableIter iter;
+	uint32_t i;
+
+	for (i = 0; i < x->npairs; i++) {
+		if (strcmp(x->pairs[i].a, route) == 0)
+			with = x->pairs[i].b;
+		else if (strcmp(x->pairs[i].b, route) == 0)
+			with = x->pairs[i].a;
+		else
+			continue;
+		g_hash_table_iter_init(&iter, x->names);
+		while (g_hash_table_iter_next(&iter, &key, &name)) {
+			if (!is_of_route(name, with))
+				continue;
+			interference_pin(
+			    x->verdicts, kind, GPOINTER_TO_UINT(key));
+			interference_pin(
+			    x->verdicts, GPOINTER_TO_UINT(key), kind);
+		}
+	}
+}
+
 /*
  * Returns the kind of the tasks of a step; 0: interference is not measured.
  */
@@ -109,6 +156,7 @@
 			g_hash_table_remove_all(x->names);
 		(void)g_hash_table_insert(
 		    x->names, GUINT_TO_POINTER(kind), g_strdup(name));
+		pin_kind(x, job->route, kind);
 	}
 	return (kind);
 }
@@ -490,6 +538,7 @@
 		kind_name(d, known[i].kind, pairs[i].kind);
 		kind_name(d, known[i].other, pairs[i].other);
 		pairs[i].verdict = known[i].verdict;
+		pairs[i].pinned = known[i].pinned;
 		pairs[i].slowdown = known[i].slowdown;
 		pairs[i].bound = known[i].bound;
 		pairs[i].samples = known[i].samples;
--- a/src/dispatch/dispatcher_priv.h
+++ b/src/dispatch/dispatcher_priv.h
@@ -322,7 +322,7 @@
 
 /* dispatcher_interference.c */
 struct dispatch_interference *dispatch_interference_create(
-    enum mlk_interference_mode mode);
+    const struct mlk_dispatcher_options *options);
 void dispatch_interference_destroy(struct dispatch_interference *x);
 uint32_t dispatch_kind(
     struct mlk_dispatcher *d, const struct job *job, uint32_t step);
--- a/src/dispatch/interference.c
+++ b/src/dispatch/interference.c
@@ -56,6 +56,7 @@
  */
 #define LOSS_COST 400U
 #define LOSS_COST_MAX 800U
+#define PINNED_SLOWDOWN 2000U /* least one of a pinned pair */
 #define THOUSAND 1000.0
 
 struct reporter {
@@ -69,6 +70,7 @@
 	double made; /* log2 of the slowdown when it was made */
 	int64_t measured_at;
 	uint32_t gone; /* consecutive looks that speak against it */
+	bool pinned; /* set by an operator */
 	bool falling; /* too few new samples since the last look */
 };
 
@@ -456,7 +458,8 @@
 		verdict = &in->verdicts[i - 1];
 		e = estimate_find(in, verdict->v.kind, verdict->v.other);
 		if (e == NULL || e->agents < 2 || e->level_error > ERROR_MAX) {
-			if (now - verdict->measured_at >= UNMEASURED_NS)
+			if (!verdict->pinned &&
+			    now - verdict->measured_at >= UNMEASURED_NS)
 				verdict_remove(in, i - 1, INTERFERENCE_EXPIRED,
 				    &changes[n++]);
 			continue;
@@ -468,7 +471,7 @@
 		else
 			verdict->gone = 0;
 		verdict_fill(verdict, e);
-		if (verdict->gone < WITHDRAW_LOOKS)
+		if (verdict->pinned || verdict->gone < WITHDRAW_LOOKS)
 			continue;
 		verdict_remove(in, i - 1, INTERFERENCE_WITHDRAWN, &changes[n]);
 		changes[n++].agents = e->agents;
@@ -631,7 +634,8 @@
 	in->adopted_at = now;
 	for (i = in->nverdicts; i > 0; i--) {
 		v = &in->verdicts[i - 1].v;
-		if (!listed(verdicts, n, v->kind, v->other))
+		if (!in->verdicts[i - 1].pinned &&
+		    !listed(verdicts, n, v->kind, v->other))
 			verdict_remove(in, i - 1, INTERFERENCE_WITHDRAWN,
 			    &changes[changed++]);
 	}
@@ -662,16 +666,39 @@
 interference_expire(struct interference *in,
     struct interference_change changes[MLK_VERDICTS_MAX], int64_t now)
 {
-	uint32_t n = 0;
+	uint32_t i, n = 0;
 
 	if (in->adopted_at == 0 || now - in->adopted_at < ADOPTED_NS)
 		return (0);
-	while (in->nverdicts > 0)
-		verdict_remove(
-		    in, in->nverdicts - 1, INTERFERENCE_EXPIRED, &changes[n++]);
+	for (i = in->nverdicts; i > 0; i--) {
+		if (!in->verdicts[i - 1].pinned)
+			verdict_remove(
+			    in, i - 1, INTERFERENCE_EXPIRED, &changes[n++]);
+	}
 	return (n);
 }
 
+void
+interference_pin(struct interference *in, uint32_t kind, uint32_t other)
+{
+	struct verdict *verdict;
+
+	verdict = verdict_find(in, kind, other);
+	if (verdict == NULL) {
+		if (in->nverdicts >= MLK_VERDICTS_MAX)
+			return;
+		verdict = &in->verdicts[in->nverdicts++];
+		memset(verdict, 0, sizeof(*verdict));
+		verdict->v.kind = kind;
+		verdict->v.other = other;
+		/* Not measured, so agents take nothing off other pairs. */
+		verdict->v.slowdown = 1000;
+		verdict->v.bound = 1000;
+		in->generation++;
+	}
+	verdict->pinned = true;
+}
+
 uint32_t
 interference_verdicts(const struct interference *in,
     struct mlk_verdict verdicts[MLK_VERDICTS_MAX])
@@ -693,14 +720,18 @@
 interference_loss(const struct interference *in, uint32_t kind, uint32_t other)
 {
 	const struct mlk_verdict *v;
-	uint32_t i, loss = 0;
+	uint32_t i, slowdown, loss = 0;
 
 	for (i = 0; i < in->nverdicts; i++) {
 		v = &in->verdicts[i].v;
-		if (((v->kind == kind && v->other == other) ||
-			(v->kind == other && v->other == kind)) &&
-		    v->slowdown > 1000)
-			loss += v->slowdown - 1000;
+		if ((v->kind != kind || v->other != other) &&
+		    (v->kind != other || v->other != kind))
+			continue;
+		slowdown = v->slowdown;
+		if (in->verdicts[i].pinned)
+			slowdown = MAX(slowdown, PINNED_SLOWDOWN);
+		if (slowdown > 1000)
+			loss += slowdown - 1000;
 	}
 	return (loss);
 }
@@ -713,7 +744,8 @@
 
 	for (i = 0; i < in->nverdicts; i++) {
 		verdict = &in->verdicts[i];
-		if ((verdict->v.kind == kind || verdict->v.other == kind) &&
+		if (!verdict->pinned &&
+		    (verdict->v.kind == kind || verdict->v.other == kind) &&
 		    (verdict->falling || verdict->v.samples < SCARCE_SAMPLES))
 			return (true);
 	}
@@ -755,7 +787,7 @@
 					  NULL;
 		pair = (struct interference_pair){ v->kind, v->other,
 			e != NULL ? e->agents : 0, v->samples, v->slowdown,
-			v->bound, true };
+			v->bound, true, in->verdicts[i].pinned };
 		(void)g_array_append_val(all, pair);
 	}
 	for (i = 0; in->adopted_at == 0 && i < in->estimates->len; i++) {
@@ -765,7 +797,8 @@
 			continue;
 		pair = (struct interference_pair){ e->kind, e->other, e->agents,
 			(uint32_t)MIN(e->information, 1e9),
-			thousandths(e->effect), thousandths(e->bound), false };
+			thousandths(e->effect), thousandths(e->bound), false,
+			false };
 		(void)g_array_append_val(all, pair);
 	}
 	g_array_sort(all, cmp_bound);
--- a/src/dispatch/interference.h
+++ b/src/dispatch/interference.h
@@ -31,6 +31,7 @@
 	uint32_t slowdown; /* of the run time, in thousandths */
 	uint32_t bound; /* lower confidence bound of it */
 	bool verdict;
+	bool pinned;
 };
 
 struct interference *interference_create(void);
@@ -55,6 +56,11 @@
  */
 uint32_t interference_expire(struct interference *in,
     struct interference_change changes[MLK_VERDICTS_MAX], int64_t now);
+/*
+ * Sets a verdict that an operator knows: it is never withdrawn, and counts as a
+ * doubled run time until more is measured.
+ */
+void interference_pin(struct interference *in, uint32_t kind, uint32_t other);
 /* Copies the verdicts, and returns their number. */
 uint32_t interference_verdicts(const struct interference *in,
     struct mlk_verdict verdicts[MLK_VERDICTS_MAX]);
--- a/test/dispatch_bench.c
+++ b/test/dispatch_bench.c
@@ -17,7 +17,7 @@
 
 void
 bench_init_as(struct dispatch_bench *b, const char *id,
-    enum mlk_interference_mode interference)
+    enum mlk_interference_mode interference, struct mlk_route_pair *pinned)
 {
 	struct mlk_dispatcher_options options;
 
@@ -27,6 +27,8 @@
 	mlk_dispatcher_options_default(&options);
 	(void)g_strlcpy(options.self.id, id, sizeof(options.self.id));
 	options.interference = interference;
+	options.npairs = pinned != NULL;
+	options.pairs = pinned;
 	strcpy(options.self.dc, "dc-a");
 	strcpy(options.self.addr, "10.0.0.1:7000");
 	options.self.incarnation = 1;
@@ -38,7 +40,7 @@
 void
 bench_init(struct dispatch_bench *b)
 {
-	bench_init_as(b, "entry-1", MLK_INTERFERENCE_OFF);
+	bench_init_as(b, "entry-1", MLK_INTERFERENCE_OFF, NULL);
 }
 
 void
--- a/test/dispatch_bench.h
+++ b/test/dispatch_bench.h
@@ -46,9 +46,9 @@
 };
 
 void bench_init(struct dispatch_bench *b);
-/* The same, for an entry with this id. */
+/* The same, for an entry with this id; `pinned` may be NULL. */
 void bench_init_as(struct dispatch_bench *b, const char *id,
-    enum mlk_interference_mode interference);
+    enum mlk_interference_mode interference, struct mlk_route_pair *pinned);
 void bench_free(struct dispatch_bench *b);
 void bench_apply(struct dispatch_bench *b, struct mlk_dispatch_event *ev);
 /* Advances the time by `ms`, with a tick every 20 ms; ends early on EXIT. */
--- a/test/test_dispatcher.c
+++ b/test/test_dispatcher.c
@@ -853,7 +853,7 @@
 	uint32_t kind, at, link;
 
 	(void)state;
-	bench_init_as(b, "zone", MLK_INTERFERENCE_AVOID);
+	bench_init_as(b, "zone", MLK_INTERFERENCE_AVOID, NULL);
 	bench_set_routes(b, 1, 2);
 	bench_add_peer(b, 1);
 	link = b->last_link - 1; /* the one that the peer has opened */
@@ -891,6 +891,34 @@
 	bench_free(b);
 }
 
+/*
+ * Guards against a pinned pair that placement does not follow, or that ends
+ * when nothing is measured.  The route of the bench has an empty name.
+ */
+static void
+test_pinned_routes_are_kept_apart(void **state)
+{
+	struct dispatch_bench bench, *b = &bench;
+	struct mlk_route_pair pair = { "", "" };
+	struct bench_agent a[2];
+	uint32_t at;
+
+	(void)state;
+	bench_init_as(b, "entry-1", MLK_INTERFERENCE_AVOID, &pair);
+	bench_set_routes(b, 1, 2);
+	bench_attach(b, &a[0], "agent-1", "dc-a", CPU);
+	bench_attach(b, &a[1], "agent-2", "dc-a", CPU);
+	a[1].free.cpu = CPU * 3 / 4;
+	bench_report_worker(b, &a[1], MLK_WORKER_READY);
+	(void)run_one(b, a, &at);
+	assert_int_equal(at, 0);
+	(void)run_one(b, a, &at);
+	assert_int_equal(at, 1);
+	bench_advance(b, 70000);
+	assert_int_equal(mlk_dispatch_counters(b->d)->verdicts_withdrawn, 0);
+	bench_free(b);
+}
+
 /* Guards against kinds, and answers to reports, while the mode is off. */
 static void
 test_interference_off(void **state)
@@ -943,6 +971,7 @@
 		TEST(test_older_routing_is_ignored),
 		TEST(test_planned_stop),
 		cmocka_unit_test(test_interfering_kinds_are_kept_apart),
+		cmocka_unit_test(test_pinned_routes_are_kept_apart),
 		TEST(test_interference_off),
 	};
 #undef TEST
--- a/test/test_settings.c
+++ b/test/test_settings.c
@@ -425,14 +425,23 @@
 	assert_int_equal(s->site.interference, MLK_INTERFERENCE_OFF);
 	mlk_site_entry_settings_free(s);
 	write_file(SITE_ENTRY
-	    "links: {listen: '10.0.0.1:70'}\ninterference: {mode: avoid}\n");
+	    "links: {listen: '10.0.0.1:70'}\ninterference: {mode: avoid, "
+	    "pairs: [left right]}\n");
 	assert_int_equal(mlk_site_entry_settings_load(file, &s, &err), 0);
 	assert_int_equal(s->site.interference, MLK_INTERFERENCE_AVOID);
+	assert_int_equal(s->npairs, 1);
+	assert_string_equal(s->pairs[0].a, "left");
+	assert_string_equal(s->pairs[0].b, "right");
 	mlk_site_entry_settings_free(s);
 	write_file(SITE_ENTRY
 	    "links: {listen: '10.0.0.1:70'}\ninterference: {mode: evade}\n");
 	assert_int_equal(
 	    mlk_site_entry_settings_load(file, &s, &err), MLK_ERR_SETTINGS);
+	write_file(SITE_ENTRY "links: {listen: '10.0.0.1:70'}\n"
+			      "interference: {pairs: [left]}\n");
+	assert_int_equal(
+	    mlk_site_entry_settings_load(file, &s, &err), MLK_ERR_SETTINGS);
+	assert_non_null(strstr(err.msg, "interference.pairs[1]"));
 }
 
 int
