dispatch: bound the slowdown in verdicts of other entries

Cause: sums of slowdowns that another process sends could exceed their type. Change: a limit of 256; the simulation computes speeds once for each worker and kind, with the same results.

--- a/src/dispatch/interference.c
+++ b/src/dispatch/interference.c
@@ -56,6 +56,8 @@
  */
 #define LOSS_COST 400U
 #define LOSS_COST_MAX 800U
+/* Of verdicts of other entries; keeps sums of them within their type. */
+#define ADOPTED_MAX 256000U
 #define PINNED_SLOWDOWN 2000U /* least one of a pinned pair */
 #define THOUSAND 1000.0
 
@@ -657,6 +659,7 @@
 		}
 		verdict->falling = is_falling(verdict, v->samples);
 		verdict->v = *v;
+		verdict->v.slowdown = MIN(v->slowdown, ADOPTED_MAX);
 		verdict->measured_at = now;
 	}
 	return (changed);
--- a/test/test_interference.c
+++ b/test/test_interference.c
@@ -292,20 +292,22 @@
 	}
 }
 
+/*
+ * Returns the speed of the tasks of a kind at a worker.
+ */
 static double
-rate_of(const struct sim *s, const struct sim_task *task)
+rate_of(const struct sim *s, uint32_t worker, uint32_t kind)
 {
-	const struct sim_worker *w = &s->workers[task->worker];
+	const struct sim_worker *w = &s->workers[worker];
 	double rate = w->speed, busy = (double)w->busy / SLOTS;
 	uint32_t k;
 
 	for (k = 0; k < KINDS; k++) {
-		if (w->running[k] > (k == task->kind))
-			rate /= s->factor[task->kind][k];
+		if (w->running[k] > (k == kind))
+			rate /= s->factor[kind][k];
 	}
 	/* Some other workers are faulty every 4 s. */
-	if ((task->worker + (uint32_t)(s->now / (4000 * MS))) % WORKERS <
-	    s->faulty)
+	if ((worker + (uint32_t)(s->now / (4000 * MS))) % WORKERS < s->faulty)
 		rate /= 5;
 	return (rate / (1 + s->crowding * MAX(0, busy - 0.5) * 2));
 }
@@ -355,14 +357,16 @@
 {
 	bool list = s->now / MS % LIST_MS == 0;
 	struct sim_task *task;
-	double rate[TASKS_MAX];
-	uint32_t i;
+	double rate[WORKERS][KINDS];
+	uint32_t i, k;
 
-	for (i = 0; i < s->ntasks; i++)
-		rate[i] = rate_of(s, s->tasks[i]);
+	for (i = 0; i < WORKERS; i++) {
+		for (k = 0; k < KINDS; k++)
+			rate[i][k] = rate_of(s, i, k);
+	}
 	for (i = s->ntasks; i > 0; i--) {
 		task = s->tasks[i - 1];
-		task->left -= rate[i - 1] * STEP_MS;
+		task->left -= rate[task->worker][task->kind] * STEP_MS;
 		if (task->left <= 0) {
 			end_task(s, i - 1);
 		} else if (list) {
