--- a/include/monsoonlock/dispatch.h
+++ b/include/monsoonlock/dispatch.h
@@ -121,6 +121,22 @@
 uint32_t mlk_evacuation_table_copy(
     const struct mlk_evacuation_table *table, struct mlk_evacuations *out);
 
+/* ---- interference -------------------------------------------------------- */
+
+/* What is done about kinds of task that slow each other down on a worker. */
+enum mlk_interference_mode {
+	MLK_INTERFERENCE_OFF, /* nothing is measured */
+	MLK_INTERFERENCE_OBSERVE, /* verdicts are made and shown */
+	MLK_INTERFERENCE_AVOID, /* placement prefers workers without the other
+				   kind */
+};
+
+/* Routes whose tasks are known to slow each other down. */
+struct mlk_route_pair {
+	char a[MLK_NAME_MAX];
+	char b[MLK_NAME_MAX];
+};
+
 /* ---- runner ------------------------------------------------------------- */
 
 /* Identifies one run at the worker. */
@@ -300,6 +316,7 @@
 	uint32_t offer_ahead_ms; /* resources are offered this long before the
 				    expected end of the run that holds them; 0:
 				    when it has ended */
+	enum mlk_interference_mode interference;
 	uint32_t nentries; /* addresses from the settings */
 	char (*entries)[MLK_ADDR_MAX];
 };
@@ -495,40 +512,47 @@
 	uint32_t max_jobs;
 	uint32_t grace_ms; /* from the stop event to EXIT */
 	enum mlk_admission_mode admission;
+	enum mlk_interference_mode interference;
+	uint32_t npairs; /* pinned pairs of routes */
+	struct mlk_route_pair *pairs;
 	uint32_t nentries; /* addresses from the settings */
 	char (*entries)[MLK_ADDR_MAX];
 };
 
 void mlk_dispatcher_options_default(struct mlk_dispatcher_options *options);
 
-#define MLK_DISPATCH_COUNTERS(X)                                           \
-	X(jobs, "Jobs taken")                                              \
-	X(jobs_joined, "Requests that joined a job at work")               \
-	X(completed, "Jobs answered complete")                             \
-	X(failed, "Jobs answered failed")                                  \
-	X(refused, "Jobs refused, nothing ran")                            \
-	X(refused_share, "Jobs refused: their queue is over its share")    \
-	X(refused_time, "Jobs refused: they would start too late")         \
-	X(demand_reports, "Reports of demand sent to the peers")           \
-	X(no_route, "Requests without a route")                            \
-	X(broken, "Jobs given up, to be sent again")                       \
-	X(late, "Jobs whose deadline passed")                              \
-	X(abandoned, "Jobs whose caller left")                             \
-	X(tasks_sent, "Tasks sent to agents")                              \
-	X(tasks_busy, "Tasks that came back for lack of room")             \
-	X(looks, "Jobs and workers looked at for a place")                 \
-	X(wants, "Messages that asked for room")                           \
-	X(unsuited, "Times that a job was not given to a slow worker")     \
-	X(offers_taken, "Offers of room that were used")                   \
-	X(offers_passed, "Offers of room that were not")                   \
-	X(tasks_refused, "Tasks that came back not run for another cause") \
-	X(tasks_lost, "Runs lost with a lease, worker, agent or link")     \
-	X(tasks_failed, "Runs that failed")                                \
-	X(tasks_moved, "Runs moved away from sick workers")                \
-	X(links_silent, "Links closed after silence")                      \
-	X(addrs_ignored, "Addresses of entries that cannot be used")       \
-	X(routings, "Routing tables put in force")                         \
-	X(evacuations, "Changes of the evacuated data centres in force")
+#define MLK_DISPATCH_COUNTERS(X)                                              \
+	X(jobs, "Jobs taken")                                                 \
+	X(jobs_joined, "Requests that joined a job at work")                  \
+	X(completed, "Jobs answered complete")                                \
+	X(failed, "Jobs answered failed")                                     \
+	X(refused, "Jobs refused, nothing ran")                               \
+	X(refused_share, "Jobs refused: their queue is over its share")       \
+	X(refused_time, "Jobs refused: they would start too late")            \
+	X(demand_reports, "Reports of demand sent to the peers")              \
+	X(no_route, "Requests without a route")                               \
+	X(broken, "Jobs given up, to be sent again")                          \
+	X(late, "Jobs whose deadline passed")                                 \
+	X(abandoned, "Jobs whose caller left")                                \
+	X(tasks_sent, "Tasks sent to agents")                                 \
+	X(tasks_busy, "Tasks that came back for lack of room")                \
+	X(looks, "Jobs and workers looked at for a place")                    \
+	X(wants, "Messages that asked for room")                              \
+	X(unsuited, "Times that a job was not given to a slow worker")        \
+	X(offers_taken, "Offers of room that were used")                      \
+	X(offers_passed, "Offers of room that were not")                      \
+	X(tasks_refused, "Tasks that came back not run for another cause")    \
+	X(tasks_lost, "Runs lost with a lease, worker, agent or link")        \
+	X(tasks_failed, "Runs that failed")                                   \
+	X(tasks_moved, "Runs moved away from sick workers")                   \
+	X(links_silent, "Links closed after silence")                         \
+	X(addrs_ignored, "Addresses of entries that cannot be used")          \
+	X(routings, "Routing tables put in force")                            \
+	X(evacuations, "Changes of the evacuated data centres in force")      \
+	X(verdicts_made, "Verdicts of interference made")                     \
+	X(verdicts_withdrawn, "Verdicts of interference withdrawn")           \
+	X(kept_apart, "Tasks sent away from a kind that they interfere with") \
+	X(not_apart, "Tasks sent to a kind that they interfere with")
 
 struct mlk_dispatch_counters {
 #define X(field, help) uint64_t field;
@@ -556,6 +580,7 @@
 	uint64_t evacuations_version;
 	uint32_t evacuations_unconfirmed; /* agents attached from there that
 					     have not confirmed */
+	uint32_t verdicts; /* of interference, in force */
 };
 
 /* Share of a queue in its pool, in thousandths of a core. */
@@ -582,6 +607,18 @@
 	struct mlk_evacuation_status *items;
 };
 
+/* What is known of the interference between two kinds of task. */
+struct mlk_interference_pair {
+	char kind[MLK_NAME_MAX + 8]; /* route/step, or a number if unknown */
+	char other[MLK_NAME_MAX + 8];
+	bool verdict; /* `kind` is slowed down beside `other` */
+	bool pinned; /* by the settings of this entry */
+	uint32_t slowdown; /* of the run time, in thousandths */
+	uint32_t bound; /* lower confidence bound of it */
+	uint32_t samples;
+	uint32_t agents; /* that measured it; 0: another entry knows */
+};
+
 struct mlk_dispatcher;
 
 struct mlk_dispatcher *mlk_dispatcher_create(
@@ -606,4 +643,11 @@
     const struct mlk_dispatcher *dispatcher, struct mlk_evacuation_report *out);
 void mlk_evacuation_report_clear(struct mlk_evacuation_report *report);
 
+/*
+ * Copies the pairs, verdicts first, and returns their number.  *decides tells
+ * whether this entry makes the verdicts.
+ */
+uint32_t mlk_dispatcher_interference(const struct mlk_dispatcher *dispatcher,
+    struct mlk_interference_pair *pairs, uint32_t max, bool *decides);
+
 #endif
--- a/src/app/metrics.c
+++ b/src/app/metrics.c
@@ -139,6 +139,7 @@
 	G(evacuations_unconfirmed,
 	    "Agents attached from evacuated data centres that have not "
 	    "confirmed")
+	G(verdicts, "Verdicts of interference in force")
 #undef G
 }
 
--- a/src/app/settings_site.c
+++ b/src/app/settings_site.c
@@ -12,9 +12,11 @@
 struct site_target {
 	struct mlk_site_settings site;
 	struct addr_list entries;
+	struct pair_list pairs;
 	uint32_t links_port;
 	int log_level;
 	int log_format;
+	int interference;
 	union {
 		struct mlk_site_entry_settings entry;
 		struct mlk_site_agent_settings agent;
@@ -26,30 +28,38 @@
 #define GRACE_MAX_MS 3600000
 #define LEASE_MAX_MS 60000
 #define OFFER_AHEAD_MAX_MS 20 /* tasks that arrive early wait no longer */
-
-#define SITE_RULES                                                            \
-	{ "id", RULE_NAME, SITE(id), true, 0, 0, 0, NULL },                   \
-	    { "dc", RULE_NAME, SITE(dc), true, 0, 0, 0, NULL },               \
-	    { "log.level", RULE_CHOICE, AT(log_level), false, 0, 0,           \
-		    MLK_LOG_INFO, settings_levels },                          \
-	    { "log.format", RULE_CHOICE, AT(log_format), false, 0, 0, 1,      \
-		    settings_formats },                                       \
-	    { "log.lines_per_s", RULE_UINT, SITE(log_lines_per_s), false, 1,  \
-		    100000, 50, NULL },                                       \
-	    { "store.address", RULE_ADDR, SITE(store_address), true, 0, 0, 0, \
-		    NULL },                                                   \
-	    { "metrics.listen", RULE_ADDR, SITE(metrics_listen), false, 0, 0, \
-		    0, NULL },                                                \
-	    { "entries", RULE_ADDR_LIST, AT(entries), false, 0, 0, 0, NULL }, \
-	    { "links.port", RULE_UINT, AT(links_port), false, 1, UINT16_MAX,  \
-		    0, NULL },                                                \
-	    { "timing.grace_s", RULE_S, SITE(grace_ms), false, 100,           \
-		    GRACE_MAX_MS, 6000, NULL },                               \
-	    { "timing.lease_ms", RULE_MS, SITE(lease_ms), false, 100,         \
-		    LEASE_MAX_MS, 1000, NULL },                               \
-	{                                                                     \
-		"timing.resend_ms", RULE_MS, SITE(resend_ms), false, 100,     \
-		    LEASE_MAX_MS, 1300, NULL                                  \
+/* Each pair takes at least two of MLK_VERDICTS_MAX verdicts. */
+#define PAIRS_MAX 16
+
+/* In the order of enum mlk_interference_mode. */
+static const char *const interference_modes[] = { "off", "observe", "avoid",
+	NULL };
+
+#define SITE_RULES                                                             \
+	{ "id", RULE_NAME, SITE(id), true, 0, 0, 0, NULL },                    \
+	    { "dc", RULE_NAME, SITE(dc), true, 0, 0, 0, NULL },                \
+	    { "log.level", RULE_CHOICE, AT(log_level), false, 0, 0,            \
+		    MLK_LOG_INFO, settings_levels },                           \
+	    { "log.format", RULE_CHOICE, AT(log_format), false, 0, 0, 1,       \
+		    settings_formats },                                        \
+	    { "log.lines_per_s", RULE_UINT, SITE(log_lines_per_s), false, 1,   \
+		    100000, 50, NULL },                                        \
+	    { "store.address", RULE_ADDR, SITE(store_address), true, 0, 0, 0,  \
+		    NULL },                                                    \
+	    { "metrics.listen", RULE_ADDR, SITE(metrics_listen), false, 0, 0,  \
+		    0, NULL },                                                 \
+	    { "entries", RULE_ADDR_LIST, AT(entries), false, 0, 0, 0, NULL },  \
+	    { "links.port", RULE_UINT, AT(links_port), false, 1, UINT16_MAX,   \
+		    0, NULL },                                                 \
+	    { "timing.grace_s", RULE_S, SITE(grace_ms), false, 100,            \
+		    GRACE_MAX_MS, 6000, NULL },                                \
+	    { "interference.mode", RULE_CHOICE, AT(interference), false, 0, 0, \
+		    MLK_INTERFERENCE_OFF, interference_modes },                \
+	    { "timing.lease_ms", RULE_MS, SITE(lease_ms), false, 100,          \
+		    LEASE_MAX_MS, 1000, NULL },                                \
+	{                                                                      \
+		"timing.resend_ms", RULE_MS, SITE(resend_ms), false, 100,      \
+		    LEASE_MAX_MS, 1300, NULL                                   \
 	}
 
 static const char *const admission_modes[] = { "off", "shares", NULL };
@@ -66,6 +76,8 @@
 	    false, 1, 1000000, 3000, NULL },
 	{ "callers.max_jobs", RULE_UINT, AT(u.entry.max_jobs), false, 1,
 	    1000000, 20000, NULL },
+	{ "interference.pairs", RULE_PAIR_LIST, AT(pairs), false, 0, PAIRS_MAX,
+	    0, NULL },
 	{ "readiness.listen", RULE_ADDR, AT(u.entry.readiness_listen), true, 0,
 	    0, 0, NULL },
 	{ "admission.mode", RULE_CHOICE, AT(u.entry.admission), false, 0, 0,
@@ -98,11 +110,14 @@
 	memset(target, 0, sizeof(*target));
 	rc = settings_read(path, rules, nrules, target, err);
 	if (rc != 0) {
+		g_free(target->pairs.items);
 		g_free(target->entries.items);
 		return (rc);
 	}
 	target->site.log_level = (enum mlk_log_level)target->log_level;
 	target->site.log_json = target->log_format == 1;
+	target->site.interference =
+	    (enum mlk_interference_mode)target->interference;
 	for (i = 0; target->links_port != 0 && i < target->entries.n; i++) {
 		colon = strrchr(target->entries.items[i], ':');
 		(void)snprintf(colon,
@@ -146,10 +161,13 @@
 		return (rc);
 	rc = default_advertise(path, &target.u.entry, err);
 	if (rc != 0) {
+		g_free(target.pairs.items);
 		g_free(target.entries.items);
 		return (rc);
 	}
 	target.u.entry.site = target.site;
+	target.u.entry.npairs = target.pairs.n;
+	target.u.entry.pairs = target.pairs.items;
 	*out = g_memdup2(&target.u.entry, sizeof(target.u.entry));
 	return (0);
 }
@@ -162,6 +180,7 @@
 {
 	if (settings == NULL)
 		return;
+	g_free(settings->pairs);
 	g_free(settings->site.entries);
 	g_free(settings);
 }
--- a/src/dispatch/dispatcher.c
+++ b/src/dispatch/dispatcher.c
@@ -35,6 +35,7 @@
 	d = g_new0(struct mlk_dispatcher, 1);
 	d->options = *options;
 	d->options.entries = NULL;
+	d->options.pairs = NULL;
 	mlk_rng_seed(&d->rng, options->seed);
 	d->links =
 	    g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
@@ -47,6 +48,7 @@
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
 	d->runtimes =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	d->interference = dispatch_interference_create(options);
 	d->queue = g_sequence_new(NULL);
 	if (options->admission == MLK_ADMISSION_SHARES) {
 		d->demand = demand_create();
@@ -68,6 +70,7 @@
 {
 	if (d == NULL)
 		return;
+	dispatch_interference_destroy(d->interference);
 	g_sequence_free(d->queue);
 	evacuations_clear(&d->evacuations);
 	(void)g_ptr_array_free(d->updated_agents, TRUE);
@@ -230,6 +233,7 @@
 		dispatch_admission_due(d);
 		dispatch_jobs_due(d);
 		dispatch_parked_due(d);
+		dispatch_interference_due(d);
 		d->place_due = true;
 	}
 	dispatch_place(d, ev->type == MLK_DISPATCH_TICK);
@@ -294,4 +298,5 @@
 	out->routing_version = d->routing.version;
 	dispatch_admission_gauges(d, out);
 	dispatch_evacuations_gauges(d, out);
+	out->verdicts = dispatch_interference_count(d);
 }
--- a/src/dispatch/dispatcher_links.c
+++ b/src/dispatch/dispatcher_links.c
@@ -285,6 +285,7 @@
 		l->kind = LINK_PEER_IN;
 		send_hello(d, l->link);
 	}
+	(void)g_strlcpy(l->id, info->id, sizeof(l->id));
 	p = l->kind == LINK_PEER_OUT ?
 	    l->peer :
 	    dispatch_peer_learn(d, info->addr, false);
@@ -352,6 +353,9 @@
 		dispatch_evacuations_confirmed(
 		    d, a, msg->u.evacuations.version);
 		break;
+	case MLK_MSG_CORUN:
+		dispatch_corun(d, a, msg);
+		break;
 	default:
 		dispatch_log(d, MLK_LOG_WARNING, NULL, a->id, "unexpected %s",
 		    mlk_msg_name(msg->type));
@@ -406,6 +410,9 @@
 	case MLK_MSG_EVACUATIONS:
 		dispatch_evacuations(d, &msg->u.evacuations);
 		break;
+	case MLK_MSG_VERDICTS:
+		dispatch_verdicts(d, l, msg);
+		break;
 	default:
 		dispatch_log(d, MLK_LOG_WARNING, NULL, NULL,
 		    "unexpected %s on a link", mlk_msg_name(msg->type));
--- a/src/dispatch/runner_listing.c
+++ b/src/dispatch/runner_listing.c
@@ -74,6 +74,7 @@
 		runner_run_confirmed(r, run);
 		health_run_progress(&run->health, listed->percent, r->now);
 		runner_forecast_end(r, run, listed->percent);
+		runner_corun_progress(r, run);
 	}
 	return (foreign);
 }
--- a/test/dispatch_world.c
+++ b/test/dispatch_world.c
@@ -18,6 +18,7 @@
 #define ATTEMPTS_MAX 3 /* an unanswered job is given up after these */
 #define TASKS_MAX 12
 #define TARGET_MS 60
+#define KINDS 3 /* of jobs */
 #define STRETCH 1600 /* of a route, thousandths of the run time */
 #define ROUTE_DEADLINE_MS 1500 /* of the jobs of routes */
 #define ESTIMATE_ERROR 40 /* percent, of their callers' estimates */
@@ -103,6 +104,7 @@
 struct world_job {
 	char id[MLK_ID_MAX];
 	uint32_t count;
+	uint32_t kind; /* 1 quick, 2 heavy, 3 light */
 	uint32_t cpu; /* of each task, thousandths of a core */
 	uint32_t work_ms[TASKS_MAX];
 	uint32_t estimate_ms;
@@ -322,9 +324,17 @@
 
 	routing->version = 1;
 	routing->nroutes = w->options.nroutes == 0 ? 1 : w->options.nroutes;
+	if (w->options.interference)
+		routing->nroutes = KINDS + 1;
 	for (i = 0; i < routing->nroutes; i++) {
 		r = &routing->routes[i];
 		*r = base;
+		if (w->options.interference) {
+			(void)snprintf(r->prefix, sizeof(r->prefix),
+			    i == 0 ? "/" : "/%u/", i);
+			(void)snprintf(r->name, sizeof(r->name), "r%u", i);
+			continue;
+		}
 		if (w->options.nroutes == 0)
 			continue;
 		(void)snprintf(r->prefix, sizeof(r->prefix), "/%u/", i);
@@ -345,6 +355,8 @@
 	uint32_t k;
 
 	mlk_dispatcher_options_default(&options);
+	if (w->options.interference)
+		options.interference = MLK_INTERFERENCE_AVOID;
 	(void)snprintf(options.self.id, sizeof(options.self.id), "entry-%u", i);
 	(void)snprintf(options.self.dc, sizeof(options.self.dc), "dc-%u", i);
 	(void)snprintf(e->addr, sizeof(e->addr), "10.0.0.%u:7000", i + 1);
@@ -388,6 +400,8 @@
 		    addrs[k], sizeof(addrs[k]), "10.0.0.%u:7000", k + 1);
 	options.nentries = w->options.entries;
 	options.entries = addrs;
+	if (w->options.interference)
+		options.interference = MLK_INTERFERENCE_AVOID;
 	a->generation = w->last_generation;
 	a->up = true;
 	a->paused_until = 0;
@@ -733,6 +747,17 @@
 	}
 }
 
+/*
+ * Heavy and light tasks slow each other down.
+ */
+static void
+set_kind(struct fake_run *run, uint32_t kind)
+{
+	run->kind = kind;
+	if (kind > 1)
+		run->slowed_by = kind == 2 ? 3 : 2;
+}
+
 /*
  * Schedules the result of an order.  If it is an answer, `boot` is that of the
  * worker, else 0: an answer is lost if the worker goes down first.
@@ -795,6 +820,8 @@
 	before = a->worker.nruns;
 	log_order(w, ev);
 	fake_worker_order(&a->worker, &ev->order, &resources, work_ms, &result);
+	if (a->worker.nruns > before && job != NULL && w->options.interference)
+		set_kind(&a->worker.runs[before], job->kind);
 	if (a->worker.nruns > before)
 		check_start(w, ev->index, &ev->order.name);
 	if (!ev->answered)
@@ -1142,6 +1169,8 @@
 	dev.u.submit.request = ev->request;
 	dev.u.submit.request_id = job->id;
 	dev.u.submit.host = "h";
+	if (w->options.interference)
+		(void)snprintf(path, sizeof(path), "/%u/", job->kind);
 	dev.u.submit.path = path;
 	dev.u.submit.deadline_ms = job->deadline_ms;
 	dev.u.submit.work = &work;
@@ -1358,7 +1387,7 @@
 		uint32_t weight;
 		uint32_t count;
 		uint32_t work_ms;
-	} kinds[] = { { 25, 8, 50 }, { 15, 4, 760 }, { 60, 2, 170 } };
+	} kinds[KINDS] = { { 25, 8, 50 }, { 15, 4, 760 }, { 60, 2, 170 } };
 	uint32_t i, k, x = below(w, 100), mean, per_s = w->options.jobs_per_s;
 	struct world_job *job;
 
@@ -1375,6 +1404,7 @@
 	for (k = 0; x >= kinds[k].weight; k++)
 		x -= kinds[k].weight;
 	job = create_job(w);
+	job->kind = k + 1;
 	job->count = 1 + below(w, kinds[k].count + kinds[k].count / 2);
 	if (job->count > TASKS_MAX)
 		job->count = TASKS_MAX;
@@ -2072,6 +2102,26 @@
 	return ((uint32_t)(worst * 1000));
 }
 
+static void
+read_verdicts(const struct mlk_dispatcher *d, struct world_stats *out)
+{
+	struct mlk_interference_pair pairs[MLK_VERDICTS_MAX];
+	bool decides;
+	uint32_t i, n;
+
+	n = mlk_dispatcher_interference(d, pairs, MLK_VERDICTS_MAX, &decides);
+	for (i = 0; i < n; i++) {
+		if (!pairs[i].verdict)
+			continue;
+		out->verdicts++;
+		if (strcmp(pairs[i].kind, "r1/0") == 0 ||
+		    strcmp(pairs[i].other, "r1/0") == 0 ||
+		    strcmp(pairs[i].kind, pairs[i].other) == 0)
+			out->wrong_verdicts++;
+	}
+	out->kept_apart = (uint32_t)mlk_dispatch_counters(d)->kept_apart;
+}
+
 void
 world_read_stats(const struct world *w, struct world_stats *out)
 {
@@ -2079,6 +2129,8 @@
 
 	*out = w->stats;
 	out->speed_error = speed_error(w);
+	if (w->entries[0].d != NULL)
+		read_verdicts(w->entries[0].d, out);
 	for (i = 0; i < w->options.agents; i++) {
 		if (w->agents[i].r == NULL)
 			continue;
--- a/test/dispatch_world.h
+++ b/test/dispatch_world.h
@@ -101,6 +101,11 @@
 			     has a third of its speed */
 	bool stragglers; /* three tasks in a hundred, not all tasks of a job in
 			    twenty, take seven times as long */
+	/*
+	 * Entries and agents avoid interference; light and heavy tasks halve
+	 * each other's speed, and each kind of task has its own route.
+	 */
+	bool interference;
 	bool retry_refused; /* refused callers send again after Retry-After */
 	/*
 	 * Queues of the jobs, in place of the mixture with jobs_per_s; 0: none.
@@ -154,6 +159,9 @@
 	uint32_t sick; /* times that workers were found sick */
 	uint32_t speed_error; /* largest deviation of a measured speed, relative
 				 to the mean of all, in thousandths */
+	uint32_t verdicts; /* of interference, in force at entry 0 */
+	uint32_t wrong_verdicts; /* of them, on other pairs */
+	uint32_t kept_apart; /* tasks, by entry 0 */
 	uint32_t tasks_refused; /* by the agents that are up at the end */
 };
 
