--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -1,7 +1,8 @@
 #!/bin/bash
 # Soak test: injects faults into the programs of platform/, run as processes.
 # Runs new seeds for some minutes, --jobs of them in parallel, or the one seed
-# that --seed names.  Logs of failed seeds are kept in report-soak/.
+# that --seed names.  Every second new seed evacuates data centres too.  Logs of
+# failed seeds are kept in report-soak/.
 # --mutant runs one program with a deliberately broken rule
 # (test/mutations/soak_NAME.sed) from seed 1 on, until a seed fails or at least
 # ten have passed; it succeeds if a seed failed.
@@ -41,9 +42,12 @@
 # Runs $jobs consecutive seeds from $1 on in parallel.
 run_seeds()
 {
-	local first=$1 pids="" pid n
+	local first=$1 pids="" pid n evacuate
 	for n in $(seq "$first" $((first + jobs - 1))); do
+		evacuate=""
+		[ $((n % 2)) -ne 0 ] || evacuate=1
 		"$soak" --seed "$n" --programs "$programs" \
+		    ${evacuate:+--evacuate} \
 		    ${mutant_program:+"--$role" "$mutant_program"} &
 		pids="$pids $!"
 	done
--- a/test/soak.c
+++ b/test/soak.c
@@ -174,6 +174,7 @@
 {
 	s->traffic_over = s->now >= end_of_traffic(s);
 	soak_store_tick(s);
+	soak_evacuations_tick(s);
 	soak_workers_tick(s);
 	soak_procs_tick(s);
 	soak_faults_tick(s);
@@ -233,11 +234,13 @@
 
 	s->clock = mlk_clock_system();
 	mlk_rng_seed(&s->rng, s->options.seed);
+	mlk_rng_seed(&s->evacuation_rng, s->options.seed);
 	s->port = (uint16_t)(20000 + (uint32_t)getpid() % 400 * 30);
 	s->started = mlk_clock_now(s->clock) / NS_PER_MS;
 	s->now = s->started;
 	s->next_job = s->started + WARM_UP_MS;
 	s->next_fault = s->started + WARM_UP_MS;
+	s->next_evacuation = s->started + WARM_UP_MS;
 	s->rows = g_array_new(FALSE, FALSE, sizeof(struct soak_row));
 	s->published_versions = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	s->polls = g_array_new(FALSE, FALSE, sizeof(struct soak_poll));
@@ -323,7 +326,7 @@
 options_parse(int *argc, char ***argv, struct soak_options *o)
 {
 	gint seed = 1, seconds = 40, entries = 3, workers = 4, jobs = 40;
-	gboolean calm = FALSE;
+	gboolean calm = FALSE, evacuate = FALSE;
 	gchar *programs = NULL, *entry = NULL, *agent = NULL;
 	GOptionEntry entries_of[] = {
 		{ "seed", 0, 0, G_OPTION_ARG_INT, &seed, "seed", "N" },
@@ -336,6 +339,8 @@
 		{ "jobs", 0, 0, G_OPTION_ARG_INT, &jobs, "jobs per second",
 		    "N" },
 		{ "calm", 0, 0, G_OPTION_ARG_NONE, &calm, "no faults", NULL },
+		{ "evacuate", 0, 0, G_OPTION_ARG_NONE, &evacuate,
+		    "evacuate data centres", NULL },
 		{ "programs", 0, 0, G_OPTION_ARG_STRING, &programs,
 		    "directory of the programs", "DIR" },
 		{ "entry", 0, 0, G_OPTION_ARG_STRING, &entry,
@@ -371,6 +376,7 @@
 	o->workers = (uint32_t)workers;
 	o->jobs_per_s = (uint32_t)jobs;
 	o->calm = calm;
+	o->evacuate = evacuate;
 	o->programs = programs;
 	o->entry = entry;
 	o->agent = agent;
@@ -401,6 +407,11 @@
 	    s.options.seed, s.last_job, s.completed, s.failed, s.refused,
 	    s.unanswered, s.disconnected, s.faults, s.completed_after_faults,
 	    s.jobs_after_faults, s.violations);
+	if (s.options.evacuate) {
+		(void)printf("%u evacuations, last start %" PRId64
+			     " ms after one\n",
+		    s.evacuations, s.evacuation_ms);
+	}
 	close_soak(&s);
 	return (status);
 }
--- a/test/soak.h
+++ b/test/soak.h
@@ -14,6 +14,8 @@
  *   whole      a job is answered as complete only after all its tasks have run
  *   left       no task of a job runs 1.6 s after its caller has disconnected
  *   version    an entry never goes back to an older routing table
+ *   evacuated  no task starts at a worker whose data centre has been evacuated
+ *              for 5 s, counted from the last time that the store came back
  *   service    after the last fault all jobs complete again
  *   ended      no program exits unless it was told to
  */
@@ -33,6 +35,7 @@
 #define SOAK_HOST_MAX 32
 #define SOAK_HOLDS_MAX 8U
 #define SOAK_ROUTE "/q/"
+#define SOAK_DCS 3U /* data centres; process i is in number i % SOAK_DCS */
 
 enum soak_call {
 	SOAK_CALL_JOB, /* number: the number of the job */
@@ -170,6 +173,7 @@
 	uint32_t workers;
 	uint32_t jobs_per_s;
 	bool calm; /* no faults */
+	bool evacuate; /* evacuates data centres and cancels that */
 	const char *programs; /* directory of the two programs */
 	const char *entry; /* replaces the entry program; NULL: does not */
 	const char *agent; /* replaces the agent program; NULL: does not */
@@ -193,6 +197,11 @@
 	uint32_t routing_burst; /* routing tables left to publish */
 	int64_t next_routing_at; /* time of the next one, ms */
 	uint64_t version; /* of the last write to the store */
+	int64_t store_up_since; /* ms */
+	struct mlk_rng evacuation_rng; /* apart, so that a seed has the same
+					  faults with evacuations */
+	int64_t next_evacuation; /* or the end of one, ms */
+	int64_t evacuated_at[SOAK_DCS]; /* ms; 0: not evacuated */
 	uint64_t routing; /* version of the routing table in force */
 	GArray *published_versions; /* uint64_t, of all routing tables */
 	/* Links between the programs, and to the store. */
@@ -218,6 +227,8 @@
 	uint32_t completed_after_faults; /* of jobs_after_faults */
 	uint32_t jobs_after_faults; /* submitted after the recovery time */
 	uint32_t violations;
+	uint32_t evacuations;
+	int64_t evacuation_ms; /* longest until the last start there */
 	bool traffic_over; /* no more jobs, no restarts of programs */
 };
 
@@ -247,6 +258,7 @@
 void soak_store_routes(struct soak *s, uint64_t version);
 void soak_store_request(struct soak *s, const struct mlk_http_request *req);
 void soak_store_tick(struct soak *s);
+void soak_evacuations_tick(struct soak *s);
 void soak_store_clear(struct soak *s);
 
 /* soak_workers.c */
--- a/test/soak_procs.c
+++ b/test/soak_procs.c
@@ -80,7 +80,7 @@
 	if (f == NULL)
 		return (-1);
 	(void)fprintf(
-	    f, "id: %s\ndc: dc-%c\n", p->id, (char)('a' + p->index % 3));
+	    f, "id: %s\ndc: dc-%c\n", p->id, (char)('a' + p->index % SOAK_DCS));
 	write_entries(s, f);
 	if (p->entry)
 		write_entry(s, f, p->index);
--- a/test/soak_store.c
+++ b/test/soak_store.c
@@ -11,6 +11,7 @@
 #define OP_KEY "config"
 #define SLOW_MS 1000U /* longest delay of an answer */
 #define ROUTING_BURST_GAP_MS 250U /* longest, between two routing tables */
+#define EVACUATION_GAP_MS 5000U /* longest, between two changes */
 
 /*
  * Returns a row, which is added when it does not exist yet.
@@ -273,6 +274,51 @@
 	(void)g_array_append_val(s->polls, poll);
 }
 
+/*
+ * Evacuates a data centre, or cancels its evacuation.
+ */
+static void
+toggle_evacuation(struct soak *s, uint32_t dc)
+{
+	char key[32];
+
+	(void)snprintf(key, sizeof(key), "evacuate/dc-%c", (char)('a' + dc));
+	s->version++;
+	if (s->evacuated_at[dc] != 0) {
+		s->evacuated_at[dc] = 0;
+		row_put(s, OP_TABLE, key, NULL);
+		return;
+	}
+	s->evacuations++;
+	s->evacuated_at[dc] = s->now;
+	row_put(s, OP_TABLE, key, "e30=");
+}
+
+/*
+ * Changes the evacuated data centres at random times, and cancels all
+ * evacuations when the faults are over.
+ */
+void
+soak_evacuations_tick(struct soak *s)
+{
+	uint32_t i;
+
+	if (!s->options.evacuate)
+		return;
+	if (soak_faults_over(s)) {
+		for (i = 0; i < SOAK_DCS; i++) {
+			if (s->evacuated_at[i] != 0)
+				toggle_evacuation(s, i);
+		}
+		return;
+	}
+	if (s->now < s->next_evacuation)
+		return;
+	s->next_evacuation =
+	    s->now + 1 + mlk_rng_below(&s->evacuation_rng, EVACUATION_GAP_MS);
+	toggle_evacuation(s, mlk_rng_below(&s->evacuation_rng, SOAK_DCS));
+}
+
 /*
  * Sends delayed answers, publishes routing tables, and answers feed requests
  * that have new rows or have timed out.
@@ -286,8 +332,10 @@
 
 	answers_tick(s);
 	routing_burst_tick(s);
-	if (s->now >= s->store_until)
+	if (s->now >= s->store_until && s->store_mode != SOAK_STORE_UP) {
 		s->store_mode = SOAK_STORE_UP;
+		s->store_up_since = s->now;
+	}
 	if (s->store_mode != SOAK_STORE_UP &&
 	    s->store_mode != SOAK_STORE_SLOW) {
 		(void)g_array_set_size(s->polls, 0);
--- a/test/soak_workers.c
+++ b/test/soak_workers.c
@@ -11,6 +11,8 @@
 #define ANNOUNCE_TIMEOUT_MS 1000
 #define STOP_AFTER_DISCONNECT_MS 1600 /* until the job's runs have ended */
 #define WORKER_CPU 64000 /* thousandths of a core */
+/* Users require that nothing starts this long after an evacuation. */
+#define EVACUATE_MS 5000
 #define TASK_MEM_MB 100
 /*
  * Delay until a late start is carried out.  Many are carried out before the
@@ -243,6 +245,27 @@
 	}
 }
 
+/*
+ * Checks that a run may start at a worker whose data centre may be evacuated.
+ */
+static void
+check_evacuated(
+    struct soak *s, const struct soak_worker *w, const struct mlk_order *order)
+{
+	uint32_t dc = (uint32_t)(w - s->workers) % SOAK_DCS;
+	int64_t since;
+
+	if (s->evacuated_at[dc] == 0)
+		return;
+	since = s->now - MAX(s->evacuated_at[dc], s->store_up_since);
+	s->evacuation_ms = MAX(s->evacuation_ms, s->now - s->evacuated_at[dc]);
+	if (s->store_mode != SOAK_STORE_UP || since <= EVACUATE_MS)
+		return;
+	soak_violation(s,
+	    "evacuated: %s starts at %s %lld ms after the evacuation",
+	    order->name.id, w->id, (long long)(s->now - s->evacuated_at[dc]));
+}
+
 /*
  * Executes an order, and fills *ev with its answer.
  */
@@ -272,6 +295,7 @@
 	if (job == NULL || ev->u.order.result != MLK_ORDER_OK)
 		return;
 	job->started++;
+	check_evacuated(s, w, order);
 	if (job->refused)
 		soak_violation(
 		    s, "not run: %s starts after its refusal", order->name.id);
