model, test: spread of the evacuated data centres

A Spin model of two entries, an agent and the store: reads in pages, lost history, restarts, a link that holds messages back. A restart and a cut together exceed 3 GB and are not searched.

--- a/scripts/models.sh
+++ b/scripts/models.sh
@@ -94,6 +94,9 @@
 start_issued_later pass start_issued.pml -DISSUED=2 -DCRASHES=0 -DNOT_RUNS=0
 start_crash pass start.pml -DEPOCHS=2 -DREGS=2
 ephemeral pass ephemeral.pml -DFAULTS=3
+evacuation-pages pass evacuation.pml -DPAGES -DCHANGES=2 -DCUTS=0 -DRESTARTS=0
+evacuation-restart pass evacuation.pml -DCHANGES=2 -DCUTS=0
+evacuation-cut pass evacuation.pml -DCHANGES=2 -DRESTARTS=0
 start-no-incarnation fail start.pml -DBUG_NO_INCARNATION
 start-no-fence fail start.pml -DBUG_NO_FENCE
 start-restart-whole fail start.pml -DBUG_RESTART_WHOLE
@@ -149,6 +152,13 @@
 ephemeral-no-fence fail ephemeral.pml -DBUG_NO_FENCE
 ephemeral-place-after-pause fail ephemeral.pml -DBUG_PLACE_AFTER_PAUSE
 ephemeral-full-first-lease fail ephemeral.pml -DBUG_FULL_FIRST_LEASE
+evacuation-older fail evacuation.pml -DBUG_OLDER
+evacuation-mixed-pages fail evacuation.pml -DPAGES -DCUTS=0 -DRESTARTS=0 -DBUG_MIXED_PAGES
+evacuation-no-ping fail evacuation.pml -DCHANGES=2 -DRESTARTS=0 -DBUG_NO_PING
+evacuation-no-set-on-attach fail evacuation.pml -DCHANGES=1 -DCUTS=0 -DBUG_NO_SET_ON_ATTACH
+evacuation-not-shown fail evacuation.pml -DCHANGES=2 -DCUTS=0 -DBUG_NOT_SHOWN
+evacuation-agents-ahead fail evacuation.pml -DCHANGES=2 -DCUTS=0 -DBUG_AGENTS_AHEAD
+evacuation-confirm-kept fail evacuation.pml -DCHANGES=1 -DCUTS=0 -DBUG_CONFIRM_KEPT
 config-lost pass config.pml -DRESTARTS=0 -DOUTAGES=0
 config-restart pass config.pml -DLOST=0 -DOUTAGES=0
 config-restart-outage pass config.pml -DOPERATORS=1
--- a/test/prop_evacuations.cpp
+++ b/test/prop_evacuations.cpp
@@ -576,6 +576,9 @@
 			    msg.type == MLK_MSG_RUN &&
 			    evacuated(i, dc_of(l.end[to])))
 				violated("placement", i);
+			/* The effect owns a message that is not queued. */
+			if (!l.open[to])
+				return;
 			l.queue[to].push_back(msg);
 			msg = {};
 			return;
