dispatch: jobs with little slack of queues within their share come first

Cause: with all jobs of such queues first, quick jobs waited behind heavy ones. Change: only those with less than 100 ms of slack come first.

--- a/src/dispatch/dispatcher_admit.c
+++ b/src/dispatch/dispatcher_admit.c
@@ -342,8 +342,8 @@
 
 /*
  * Returns the expected time until work with this slack that arrives now is
- * started, in ns.  Work of queues within their share is done first, and then in
- * order of its slack.
+ * started, in ns.  Work is done in order of its slack, but that of queues
+ * within their share first when it has little slack.
  */
 static int64_t
 expected_wait(const struct mlk_dispatcher *d, const struct admission_pool *p,
@@ -351,9 +351,11 @@
 {
 	const struct admission_route *r;
 	GHashTableIter iter;
+	bool preferred;
 	double ahead = 0;
 	gpointer value;
 
+	preferred = within_share && slack <= (double)PREFERRED_SLACK_NS;
 	if (p->capacity <= 0)
 		return (0);
 	g_hash_table_iter_init(&iter, d->admission->routes);
@@ -361,8 +363,7 @@
 		r = value;
 		if (strcmp(r->pool, p->name) != 0)
 			continue;
-		if (within_share ? r->fraction >= 1 && r->slack <= slack :
-				   r->fraction >= 1 || r->slack <= slack)
+		if (r->slack <= slack && (!preferred || r->fraction >= 1))
 			ahead += r->queued;
 	}
 	return ((int64_t)(ahead / (p->capacity * USABLE_SHARE) * MS));
--- a/src/dispatch/dispatcher_priv.h
+++ b/src/dispatch/dispatcher_priv.h
@@ -277,8 +277,16 @@
 	struct mlk_dispatch_effects *out;
 };
 
+/*
+ * While a pool is short, jobs of queues within their share come first when they
+ * have less slack than this: about that of the jobs with the least.  With all
+ * of them first, jobs with little slack would wait behind those with much.
+ */
+#define PREFERRED_SLACK_NS (100 * MS)
+
 enum walk_part {
-	WALK_WITHIN_SHARE, /* on time, and their queue is within its share */
+	WALK_WITHIN_SHARE, /* on time with little slack, and their queue is
+			      within its share */
 	WALK_ON_TIME, /* the others */
 	WALK_LATE_STARTED,
 	WALK_LATE_UNSTARTED,
--- a/src/dispatch/dispatcher_queue.c
+++ b/src/dispatch/dispatcher_queue.c
@@ -182,6 +182,13 @@
 	return (job);
 }
 
+static bool
+is_preferred(const struct queue_walk *walk, const struct job *job)
+{
+	return (walk->split && job->within_share &&
+	    job->start_by - walk->d->now <= PREFERRED_SLACK_NS);
+}
+
 /*
  * Tells whether a job belongs to the current part.
  */
@@ -190,9 +197,9 @@
 {
 	switch (walk->part) {
 	case WALK_WITHIN_SHARE:
-		return (job->within_share);
+		return (is_preferred(walk, job));
 	case WALK_ON_TIME:
-		return (!walk->split || !job->within_share);
+		return (!is_preferred(walk, job));
 	case WALK_LATE_STARTED:
 		return (has_started(job));
 	case WALK_LATE_UNSTARTED:
