--- a/src/dispatch/dispatcher_admit.c
+++ b/src/dispatch/dispatcher_admit.c
@@ -19,8 +19,9 @@
 #include "shares.h"
 
 /*
- * Part of the capacity that can be used: 11 tasks of 5.6 cores on a worker of
- * 64 leave 4 %.
+ * Part of the capacity that can be used.  Tasks do not fill a worker to its
+ * last core: 11 tasks of 5.6 cores on a worker of 64 leave 4 %, smaller ones
+ * less.
  */
 #define USABLE_SHARE 0.97
 /*
