dispatch: the expected end of a run counts from its start order

Cause: progress was divided by the time since the run was first seen active. A run whose start is answered late is first seen with much of its work done and seemed to end at once: its resources were offered ahead long before its end, and tasks sent for them were returned as busy. Change: the time counts from the start order, as run times do; the error is then on the late side. Measured: test_late_answer_is_not_an_early_end fails before and passes after; test_runner_held, 12 of 12 pass.

--- a/src/dispatch/runner_held.c
+++ b/src/dispatch/runner_held.c
@@ -35,7 +35,9 @@
 };
 
 /*
- * Updates the expected end of a run from its progress.
+ * Updates the expected end of a run from its progress.  Its time is counted
+ * from the start order: a run whose start is answered late is first seen active
+ * with most of its work done, and from then on would seem to end at once.
  */
 void
 runner_forecast_end(
@@ -44,8 +46,8 @@
 	if (percent < FORECAST_PERCENT || percent == run->forecast_percent)
 		return;
 	run->forecast_percent = percent;
-	run->ends_at = run->confirmed_at +
-	    (r->now - run->confirmed_at) * 100 / (int64_t)percent;
+	run->ends_at =
+	    run->sent_at + (r->now - run->sent_at) * 100 / (int64_t)percent;
 }
 
 /*
--- a/test/test_runner_held.c
+++ b/test/test_runner_held.c
@@ -577,6 +577,23 @@
 	assert_int_equal(t->starts, 1);
 }
 
+/*
+ * Guards against an end that is expected at once for a run whose start is
+ * answered late: it is confirmed only when half of it is done.
+ */
+static void
+test_late_answer_is_not_an_early_end(void **state)
+{
+	struct bench *t = *state;
+
+	t->late_until = t->now + WORK_MS / 2;
+	run_until_left(t, AHEAD_MS + 2);
+	assert_true(t->now > t->late_until);
+	assert_int_equal(t->offers, 0);
+	send_want(t);
+	assert_int_equal(t->offers, 0);
+}
+
 #define HELD_TEST(name) cmocka_unit_test_setup_teardown(name, setup, teardown)
 
 int
@@ -595,6 +612,7 @@
 		HELD_TEST(test_refused_by_planned_stop),
 		HELD_TEST(test_refused_by_smaller_boot),
 		HELD_TEST(test_returned_after_pause),
+		HELD_TEST(test_late_answer_is_not_an_early_end),
 	};
 
 	return (cmocka_run_group_tests(tests, NULL, NULL));
