dispatch: held tasks keep the number of tasks of their message

Cause: the copy of the message that a held task keeps had no number of tasks, so its run counted with the weight of a whole message, not with its part, in the measurement of interference. Change: the number is kept. Measured: test_runner_held, 12 of 12, and test_runner_fence, 16 of 16 pass; no test observes the weight of a held task.

--- a/src/dispatch/runner_held.c
+++ b/src/dispatch/runner_held.c
@@ -25,7 +25,10 @@
 /* A run that is late by more than this is not expected to end soon. */
 #define OVERDUE_NS (10 * MS)
 
-/* A task of a RUN message; the message has neither tasks nor a spec. */
+/*
+ * A task of a RUN message.  Of the message the number of tasks is kept, and
+ * neither the tasks nor the spec.
+ */
 struct held_task {
 	struct entry *entry;
 	struct mlk_msg msg;
@@ -109,7 +112,6 @@
 	held->entry = e;
 	held->msg = *msg;
 	memset(&held->msg.u.run.spec, 0, sizeof(held->msg.u.run.spec));
-	held->msg.u.run.n = 0;
 	held->msg.u.run.tasks = NULL;
 	held->task = *task;
 	held->spec = g_bytes_ref(spec);
