test: faults and random histories with offers ahead

Cause: the simulated agents never offered ahead, so no test of faults or of random histories saw held tasks. Change: a world option; test_runner has ten faults under an overload with offers ahead, prop_dispatch draws 0, 8 or 20 ms.

--- a/test/dispatch_world.c
+++ b/test/dispatch_world.c
@@ -400,6 +400,7 @@
 		    addrs[k], sizeof(addrs[k]), "10.0.0.%u:7000", k + 1);
 	options.nentries = w->options.entries;
 	options.entries = addrs;
+	options.offer_ahead_ms = w->options.offer_ahead_ms;
 	if (w->options.interference)
 		options.interference = MLK_INTERFERENCE_AVOID;
 	a->generation = w->last_generation;
@@ -2138,6 +2139,8 @@
 		    (uint32_t)mlk_runner_counters(w->agents[i].r)->sick;
 		out->tasks_refused +=
 		    (uint32_t)mlk_runner_counters(w->agents[i].r)->refused;
+		out->tasks_held +=
+		    (uint32_t)mlk_runner_counters(w->agents[i].r)->held;
 	}
 }
 
--- a/test/dispatch_world.h
+++ b/test/dispatch_world.h
@@ -90,6 +90,7 @@
 	uint32_t cpu; /* capacity of each worker, thousandths of a core */
 	const double *speeds; /* of the workers; NULL: all 1 */
 	uint32_t start_answer_ms; /* longest time until a start is answered */
+	uint32_t offer_ahead_ms; /* of the agents; 0: no offers ahead */
 	/*
 	 * From burst_at on, jobs_per_s is multiplied by burst_factor for
 	 * burst_ms; 0 ms: no burst.
@@ -163,6 +164,7 @@
 	uint32_t wrong_verdicts; /* of them, on other pairs */
 	uint32_t kept_apart; /* tasks, by entry 0 */
 	uint32_t tasks_refused; /* by the agents that are up at the end */
+	uint32_t tasks_held; /* likewise */
 };
 
 void world_read_stats(const struct world *w, struct world_stats *out);
--- a/test/prop_dispatch.cpp
+++ b/test/prop_dispatch.cpp
@@ -82,6 +82,7 @@
 		options.jobs_per_s = *rc::gen::element(10u, 30u, 60u, 90u);
 		options.cpu = 64000;
 		options.start_answer_ms = *rc::gen::element(0u, 20u);
+		options.offer_ahead_ms = *rc::gen::element(0u, 8u, 20u);
 		world *w = world_create(&options);
 		for (const auto &f : faults)
 			world_fault(w, f.at,
--- a/test/test_runner.c
+++ b/test/test_runner.c
@@ -380,6 +380,47 @@
 	}
 }
 
+#define HELD_AHEAD_MS 8
+
+/*
+ * Guards against a held task that has two runs, is lost, or is started beyond
+ * the capacity, when a part of the system fails under a load beyond the
+ * capacity.
+ */
+static void
+test_faults_with_offers_ahead(void **state)
+{
+	static const struct {
+		enum world_fault fault;
+		uint32_t ms;
+	} faults[] = {
+		{ WORLD_FAULTS, 0 },
+		{ WORLD_CUT, FAULT_MS },
+		{ WORLD_RESET, 0 },
+		{ WORLD_ENTRY_KILL, FAULT_MS },
+		{ WORLD_ENTRY_PAUSE, 950 },
+		{ WORLD_AGENT_KILL, FAULT_MS },
+		{ WORLD_AGENT_PAUSE, 950 },
+		{ WORLD_WORKER_RESTART, 300 },
+		{ WORLD_WORKER_LEAVES, FAULT_MS },
+		{ WORLD_ORDERS_LATE, FAULT_MS },
+	};
+	struct world_options options = base_options;
+	struct world_stats stats;
+	size_t i;
+
+	(void)state;
+	options.jobs_per_s = 90;
+	options.start_answer_ms = START_ANSWER_MS;
+	options.offer_ahead_ms = HELD_AHEAD_MS;
+	for (i = 0; i < G_N_ELEMENTS(faults); i++) {
+		options.seed = i + 1;
+		run_world(&options, faults[i].fault, faults[i].ms, &stats);
+		assert_int_equal(stats.unanswered, 0);
+		assert_true(stats.tasks_held > 0);
+	}
+}
+
 #define BURST_MS 4000
 #define BURST_FACTOR 3
 #define RETRIED_COMPLETED_PERCENT 75
@@ -492,6 +533,7 @@
 		cmocka_unit_test(test_stragglers),
 		cmocka_unit_test(test_cold_worker),
 		cmocka_unit_test(test_restarts_under_load),
+		cmocka_unit_test(test_faults_with_offers_ahead),
 		cmocka_unit_test(test_retries_after_burst),
 		cmocka_unit_test(test_interference_is_found),
 	};
