dispatch: a missed end of a run is not expected again

Cause: at a worker that becomes slow, the expected end of a run moves on with its progress and stays a few ms ahead. Its resources were offered again after each task that was held in vain. Measured: test_missed_end_is_not_expected_again fails before and passes after; test_runner_held, 13 of 13 pass.

--- a/src/dispatch/runner_held.c
+++ b/src/dispatch/runner_held.c
@@ -53,6 +53,19 @@
 	    run->sent_at + (r->now - run->sent_at) * 100 / (int64_t)percent;
 }
 
+/*
+ * Tells whether a run is expected to end within the time by which offers are
+ * made ahead.
+ */
+static bool
+ends_soon(const struct mlk_runner *r, const struct run *run)
+{
+	return (run->state == RUN_ACTIVE && run->ends_at != 0 &&
+	    !run->forecast_missed &&
+	    run->ends_at <= r->now + (int64_t)r->options.offer_ahead_ms * MS &&
+	    r->now - run->ends_at < OVERDUE_NS);
+}
+
 /*
  * Returns the resources that are free or expected to be released within the
  * time by which offers are made ahead.
@@ -66,10 +79,7 @@
 
 	for (i = 0; r->options.offer_ahead_ms > 0 && i < r->runs->len; i++) {
 		run = g_ptr_array_index(r->runs, i);
-		if (run->state == RUN_ACTIVE && run->ends_at != 0 &&
-		    run->ends_at <=
-			r->now + (int64_t)r->options.offer_ahead_ms * MS &&
-		    r->now - run->ends_at < OVERDUE_NS)
+		if (ends_soon(r, run))
 			mlk_resources_add(&free, &run->resources);
 	}
 	mlk_resources_subtract(&free, &r->reserved);
@@ -122,6 +132,27 @@
 	return (true);
 }
 
+/*
+ * A task was held in vain: the runs that are still expected to end are not
+ * offered ahead again.  At a worker that becomes slow, the expected end of a
+ * run moves on with its progress, and the same tasks would be sent for it and
+ * returned many times.
+ */
+static void
+note_missed_ends(struct mlk_runner *r)
+{
+	struct run *run;
+	guint i;
+
+	for (i = 0; i < r->runs->len; i++) {
+		run = g_ptr_array_index(r->runs, i);
+		if (run->ends_at != 0 &&
+		    run->ends_at <=
+			r->now + (int64_t)r->options.offer_ahead_ms * MS)
+			run->forecast_missed = true;
+	}
+}
+
 /*
  * Starts the held tasks whose resources are free, oldest first, and returns
  * those that were held too long.
@@ -150,6 +181,7 @@
 			runner_run_reject(r, held.entry, &held.msg, &held.task,
 			    MLK_RUN_REFUSED);
 		} else if (waited >= HOLD_NS) {
+			note_missed_ends(r);
 			runner_run_reject(
 			    r, held.entry, &held.msg, &held.task, MLK_RUN_BUSY);
 		} else {
--- a/src/dispatch/runner_priv.h
+++ b/src/dispatch/runner_priv.h
@@ -194,6 +194,8 @@
 	int64_t confirmed_at; /* first seen active; 0: not yet */
 	uint32_t forecast_percent; /* progress that ends_at is computed from */
 	int64_t ends_at; /* expected end; 0: unknown */
+	bool forecast_missed; /* a held task was returned because the run did
+				 not end as expected: none is expected again */
 	int64_t stop_at; /* time at which the stop was requested */
 	int64_t stop_sent_at;
 	bool stop_wanted; /* a stop was requested; it is sent once the run is
--- a/test/test_runner_held.c
+++ b/test/test_runner_held.c
@@ -439,6 +439,31 @@
 	assert_int_equal(t->starts, 1);
 }
 
+/*
+ * Guards against tasks that are sent again and again for the same run, each to
+ * be returned, while a slow worker moves its expected end.
+ */
+static void
+test_missed_end_is_not_expected_again(void **state)
+{
+	struct bench *t = *state;
+
+	run_until_left(t, AHEAD_MS);
+	send_early(t);
+	t->worker.speed = 0.1;
+	advance(t, HOLD_MS);
+	assert_one_result(t, EARLY_JOB, MLK_RUN_BUSY);
+	while (t->worker.nruns > 0) {
+		assert_int_equal(t->offers, 1);
+		send_want(t);
+		tick(t);
+	}
+	t->worker.speed = 1;
+	send_want(t);
+	advance(t, 2);
+	assert_int_equal(t->offers, 2);
+}
+
 /*
  * Guards against a held task that is started after its job was dropped, and
  * against a DROP that takes the tasks of other jobs.
@@ -605,6 +630,7 @@
 		HELD_TEST(test_offer_ahead_of_the_end),
 		HELD_TEST(test_held_until_the_end_is_listed),
 		HELD_TEST(test_held_too_long),
+		HELD_TEST(test_missed_end_is_not_expected_again),
 		HELD_TEST(test_dropped_with_its_job),
 		HELD_TEST(test_kept_when_other_job_is_dropped),
 		HELD_TEST(test_dropped_with_its_link),
