--- a/src/dispatch/runner_held.c
+++ b/src/dispatch/runner_held.c
@@ -25,7 +25,10 @@
 /* A run that is late by more than this is not expected to end soon. */
 #define OVERDUE_NS (10 * MS)
 
-/* A task of a RUN message; the message has neither tasks nor a spec. */
+/*
+ * A task of a RUN message.  Of the message the number of tasks is kept, and
+ * neither the tasks nor the spec.
+ */
 struct held_task {
 	struct entry *entry;
 	struct mlk_msg msg;
@@ -35,7 +38,9 @@
 };
 
 /*
- * Updates the expected end of a run from its progress.
+ * Updates the expected end of a run from its progress.  Its time is counted
+ * from the start order: a run whose start is answered late is first seen active
+ * with most of its work done, and from then on would seem to end at once.
  */
 void
 runner_forecast_end(
@@ -44,8 +49,21 @@
 	if (percent < FORECAST_PERCENT || percent == run->forecast_percent)
 		return;
 	run->forecast_percent = percent;
-	run->ends_at = run->confirmed_at +
-	    (r->now - run->confirmed_at) * 100 / (int64_t)percent;
+	run->ends_at =
+	    run->sent_at + (r->now - run->sent_at) * 100 / (int64_t)percent;
+}
+
+/*
+ * Tells whether a run is expected to end within the time by which offers are
+ * made ahead.
+ */
+static bool
+ends_soon(const struct mlk_runner *r, const struct run *run)
+{
+	return (run->state == RUN_ACTIVE && run->ends_at != 0 &&
+	    !run->forecast_missed &&
+	    run->ends_at <= r->now + (int64_t)r->options.offer_ahead_ms * MS &&
+	    r->now - run->ends_at < OVERDUE_NS);
 }
 
 /*
@@ -61,10 +79,7 @@
 
 	for (i = 0; r->options.offer_ahead_ms > 0 && i < r->runs->len; i++) {
 		run = g_ptr_array_index(r->runs, i);
-		if (run->state == RUN_ACTIVE && run->ends_at != 0 &&
-		    run->ends_at <=
-			r->now + (int64_t)r->options.offer_ahead_ms * MS &&
-		    r->now - run->ends_at < OVERDUE_NS)
+		if (ends_soon(r, run))
 			mlk_resources_add(&free, &run->resources);
 	}
 	mlk_resources_subtract(&free, &r->reserved);
@@ -107,7 +122,6 @@
 	held->entry = e;
 	held->msg = *msg;
 	memset(&held->msg.u.run.spec, 0, sizeof(held->msg.u.run.spec));
-	held->msg.u.run.n = 0;
 	held->msg.u.run.tasks = NULL;
 	held->task = *task;
 	held->spec = g_bytes_ref(spec);
@@ -118,6 +132,27 @@
 	return (true);
 }
 
+/*
+ * A task was held in vain: the runs that are still expected to end are not
+ * offered ahead again.  At a worker that becomes slow, the expected end of a
+ * run moves on with its progress, and the same tasks would be sent for it and
+ * returned many times.
+ */
+static void
+note_missed_ends(struct mlk_runner *r)
+{
+	struct run *run;
+	guint i;
+
+	for (i = 0; i < r->runs->len; i++) {
+		run = g_ptr_array_index(r->runs, i);
+		if (run->ends_at != 0 &&
+		    run->ends_at <=
+			r->now + (int64_t)r->options.offer_ahead_ms * MS)
+			run->forecast_missed = true;
+	}
+}
+
 /*
  * Starts the held tasks whose resources are free, oldest first, and returns
  * those that were held too long.
@@ -146,6 +181,7 @@
 			runner_run_reject(r, held.entry, &held.msg, &held.task,
 			    MLK_RUN_REFUSED);
 		} else if (waited >= HOLD_NS) {
+			note_missed_ends(r);
 			runner_run_reject(
 			    r, held.entry, &held.msg, &held.task, MLK_RUN_BUSY);
 		} else {
