test: more early tasks than were offered

Cause: no test had two held tasks, of which one must wait. Change: a message with two tasks answers an offer of room for one.

--- a/test/test_runner_held.c
+++ b/test/test_runner_held.c
@@ -18,14 +18,16 @@
 #define MS ((int64_t)MLK_NSEC_PER_MSEC)
 #define LINK 5
 #define DC "dc-a"
-#define CPU 4000 /* capacity of the worker; each task needs all of it */
+#define CPU 4000 /* capacity of the worker */
 #define MEM_MB 64
 #define WORK_MS 60
 #define AHEAD_MS 8
 #define HOLD_MS 20
 #define RUNNING_JOB 1
-#define EARLY_JOB 2
+#define OTHER_JOB 2
+#define EARLY_JOB 3
 #define RESULTS_MAX 16
+#define TASKS_MAX 4
 
 struct bench {
 	struct mlk_runner *r;
@@ -45,6 +47,7 @@
 	uint64_t evacuations;
 	int64_t now; /* ms */
 	int64_t late_until; /* before this time no order is answered */
+	uint32_t task_cpu; /* that each task needs */
 };
 
 static void
@@ -107,7 +110,7 @@
 static void
 run_orders(struct bench *t)
 {
-	struct mlk_resources task = { .cpu = CPU, .mem_mb = MEM_MB };
+	struct mlk_resources task = { .cpu = t->task_cpu, .mem_mb = MEM_MB };
 	struct mlk_runner_event ev;
 	struct mlk_order order;
 	guint i, n = t->pending->len;
@@ -186,16 +189,20 @@
 }
 
 /*
- * The entry sends a task that needs the whole worker; `offer` is 0 when it
- * answers no offer.
+ * The entry sends tasks of a job; `offer` is 0 when they answer no offer.
  */
 static void
-send_run(struct bench *t, uint64_t job, uint64_t offer)
+send_runs(struct bench *t, uint64_t job, uint64_t offer, uint32_t n)
 {
-	struct mlk_run_task task = { .resources = {
-					 .cpu = CPU, .mem_mb = MEM_MB } };
+	struct mlk_run_task tasks[TASKS_MAX] = { 0 };
 	struct mlk_msg msg = { .type = MLK_MSG_RUN };
+	uint32_t i;
 
+	for (i = 0; i < n; i++) {
+		tasks[i].index = i;
+		tasks[i].resources.cpu = t->task_cpu;
+		tasks[i].resources.mem_mb = MEM_MB;
+	}
 	msg.u.run.sent_at = (uint64_t)t->now;
 	msg.u.run.seq = ++t->seq;
 	msg.u.run.job = job;
@@ -203,11 +210,17 @@
 	msg.u.run.deadline_ms = 4 * WORK_MS;
 	msg.u.run.expected_ms = WORK_MS;
 	msg.u.run.offer = offer;
-	msg.u.run.n = 1;
-	msg.u.run.tasks = &task;
+	msg.u.run.n = n;
+	msg.u.run.tasks = tasks;
 	deliver(t, &msg);
 }
 
+static void
+send_run(struct bench *t, uint64_t job, uint64_t offer)
+{
+	send_runs(t, job, offer, 1);
+}
+
 static void
 send_want(struct bench *t)
 {
@@ -215,7 +228,7 @@
 
 	msg.u.want.sent_at = (uint64_t)t->now;
 	msg.u.want.want.tasks = 1;
-	msg.u.want.want.resources.cpu = CPU;
+	msg.u.want.want.resources.cpu = t->task_cpu;
 	msg.u.want.want.resources.mem_mb = MEM_MB;
 	deliver(t, &msg);
 }
@@ -318,6 +331,7 @@
 	struct bench *t = g_new0(struct bench, 1);
 
 	t->now = 10000;
+	t->task_cpu = CPU;
 	t->pending = g_array_new(FALSE, FALSE, sizeof(struct mlk_order));
 	fake_worker_init(&t->worker, "worker-1", 1000, CPU, t->now);
 	create(t, ahead_ms);
@@ -369,8 +383,8 @@
 	assert_int_equal(t->offers, 1);
 	send_run(t, EARLY_JOB, t->offer);
 	advance(t, 2);
-	send_run(t, EARLY_JOB + 1, t->offer);
-	assert_one_result(t, EARLY_JOB + 1, MLK_RUN_BUSY);
+	send_run(t, OTHER_JOB, t->offer);
+	assert_one_result(t, OTHER_JOB, MLK_RUN_BUSY);
 	assert_int_equal(mlk_runner_counters(t->r)->held, 0);
 }
 
@@ -464,6 +478,34 @@
 	assert_int_equal(t->offers, 2);
 }
 
+/*
+ * Guards against tasks that are started beyond the capacity when a message has
+ * more of them than were offered, and against one that is not started because
+ * the other is waiting.
+ */
+static void
+test_more_tasks_than_offered(void **state)
+{
+	struct bench *t = *state;
+
+	t->task_cpu = CPU / 2;
+	send_run(t, RUNNING_JOB, 0);
+	advance(t, WORK_MS / 2);
+	send_run(t, OTHER_JOB, 0);
+	advance(t, 2);
+	while (t->offer == 0) {
+		assert_int_equal(t->worker.nruns, 2);
+		send_want(t);
+		tick(t);
+	}
+	send_runs(t, EARLY_JOB, t->offer, 2);
+	advance(t, HOLD_MS);
+	assert_one_result(t, RUNNING_JOB, MLK_RUN_DONE);
+	assert_one_result(t, EARLY_JOB, MLK_RUN_BUSY);
+	assert_int_equal(t->starts, 3);
+	assert_int_equal(t->worker.nruns, 2);
+}
+
 /*
  * Guards against a held task that is started after its job was dropped, and
  * against a DROP that takes the tasks of other jobs.
@@ -494,7 +536,7 @@
 	run_until_left(t, AHEAD_MS);
 	send_early(t);
 	msg.u.drop.sent_at = (uint64_t)t->now;
-	msg.u.drop.job = EARLY_JOB + 1;
+	msg.u.drop.job = OTHER_JOB;
 	deliver(t, &msg);
 	advance(t, 2 * WORK_MS);
 	assert_one_result(t, EARLY_JOB, MLK_RUN_DONE);
@@ -631,6 +673,7 @@
 		HELD_TEST(test_held_until_the_end_is_listed),
 		HELD_TEST(test_held_too_long),
 		HELD_TEST(test_missed_end_is_not_expected_again),
+		HELD_TEST(test_more_tasks_than_offered),
 		HELD_TEST(test_dropped_with_its_job),
 		HELD_TEST(test_kept_when_other_job_is_dropped),
 		HELD_TEST(test_dropped_with_its_link),
