--- a/src/dispatch/demand.c
+++ b/src/dispatch/demand.c
@@ -24,6 +24,7 @@
  * which are 11 to 13 s, and long against an overload of some seconds.
  */
 #define USUAL_NS (30000 * MS)
+#define KNOWN_NS (5000 * MS) /* of demand, until its usual rates are used */
 /*
  * Interval of the reports to peers: an entry sends 40 a second or fewer,
  * whatever the number of peers; early ones come on top.
@@ -75,6 +76,7 @@
 	GHashTable *routes; /* name -> struct route */
 	GPtrArray *peers; /* struct peer_report */
 	int64_t now; /* of the last update */
+	int64_t first_at; /* of the first job that arrived here; 0: none yet */
 	int64_t started_at; /* of the first update; 0: none yet */
 	int64_t window_start;
 	int64_t interval; /* of the reports */
@@ -151,6 +153,8 @@
 {
 	struct route *r = route_get(d, route);
 
+	if (d->first_at == 0)
+		d->first_at = d->now;
 	if (r == NULL)
 		return;
 	r->window_offered += work;
@@ -287,6 +291,16 @@
 	    (total.offered - r->usual) * MIN(1.0, (double)span / MAX(age, 1));
 }
 
+/*
+ * Tells whether the usual rates are known: for the first seconds of demand they
+ * are as wrong as the present ones, since run times are not measured yet.
+ */
+bool
+demand_is_known(const struct demand *d)
+{
+	return (d->first_at != 0 && d->now - d->first_at >= KNOWN_NS);
+}
+
 /*
  * Closes the window of the rates when it has passed.
  */
--- a/src/dispatch/demand.h
+++ b/src/dispatch/demand.h
@@ -33,6 +33,7 @@
 void demand_ran(struct demand *demand, const char *route, double expected_work,
     double work);
 double demand_bias(const struct demand *demand, const char *route);
+bool demand_is_known(const struct demand *demand);
 void demand_update(struct demand *demand, int64_t now);
 bool demand_report_due(
     const struct demand *demand, uint32_t peers, int64_t now);
--- a/src/dispatch/dispatcher_admit.c
+++ b/src/dispatch/dispatcher_admit.c
@@ -428,7 +428,7 @@
 	job->wait_expected = expected_wait(d, p, job->within_share, slack);
 	if (p->capacity > 0 && !is_capacity_unknown(d) &&
 	    !dispatch_fits_now(d, job)) {
-		if (r->fraction < 1 &&
+		if (r->fraction < 1 && demand_is_known(d->demand) &&
 		    mlk_rng_below(&d->rng, 1U << 16) >=
 			r->fraction * (1U << 16)) {
 			cause = "its queue is over its share";
