dispatch: one interval of demand reports, one start of an on-time pass

Cause: the interval of the reports was computed in two places, and the start of a walk over the queue repeated that of its on-time pass. Change: report_interval() and walk_begin_on_time() serve both. The process tests and fuzz were not run on it.

--- a/src/dispatch/demand.c
+++ b/src/dispatch/demand.c
@@ -87,6 +87,12 @@
 	bool active; /* a route has demand, or had at the last report */
 };
 
+static int64_t
+report_interval(uint32_t peers)
+{
+	return (MAX(REPORT_NS, REPORT_PER_PEER_NS * (int64_t)peers));
+}
+
 struct demand *
 demand_create(void)
 {
@@ -353,7 +359,7 @@
 
 	if (peers == 0 || !d->active)
 		return (false);
-	interval = MAX(REPORT_NS, REPORT_PER_PEER_NS * (int64_t)peers);
+	interval = report_interval(peers);
 	if (d->changed && since >= MAX(REPORT_EARLY_NS, interval / 3))
 		return (true);
 	return (since >= interval);
@@ -458,8 +464,7 @@
 	p->n = MIN(report->n, MLK_DEMAND_MAX);
 	memcpy(p->items, report->items, p->n * sizeof(p->items[0]));
 	/* The interval of all entries follows from their number. */
-	d->interval =
-	    MAX(REPORT_NS, REPORT_PER_PEER_NS * (int64_t)d->peers->len);
+	d->interval = report_interval(d->peers->len);
 	for (i = 0; i < p->n; i++)
 		(void)route_get(d, p->items[i].route);
 }
--- a/src/dispatch/dispatcher_queue.c
+++ b/src/dispatch/dispatcher_queue.c
@@ -143,9 +143,8 @@
 {
 	walk->d = d;
 	walk->split = dispatch_any_pool_short(d);
-	walk->part = walk->split ? WALK_WITHIN_SHARE : WALK_ON_TIME;
-	walk->next = first_on_time(d);
-	walk->more = !g_sequence_iter_is_end(walk->next);
+	walk_begin_on_time(
+	    walk, walk->split ? WALK_WITHIN_SHARE : WALK_ON_TIME);
 }
 
 /*
