load: one reader of files and one writer of JSON reports

Cause: the calculation of the best placement repeated how scenarios are read and how reports are written. Change: mlk_load_file_read() and mlk_load_json_write() in load/files.c serve both. The process tests and fuzz were not run on it.

--- a/load/ideal_file.c
+++ b/load/ideal_file.c
@@ -14,6 +14,7 @@
 #include <cyaml/cyaml.h>
 #include <glib.h>
 
+#include "files.h"
 #include "ideal.h"
 
 #define FILE_MAX (256U * 1024U) /* bytes; limits memory for a wrong file */
@@ -559,17 +560,14 @@
 mlk_ideal_day_read(
     const char *path, struct mlk_ideal_day **out, struct mlk_error *err)
 {
-	GError *gerr = NULL;
 	char *text;
 	gsize len;
 	int error;
 
 	*out = NULL;
-	if (!g_file_get_contents(path, &text, &len, &gerr)) {
-		error = mlk_error_set(err, MLK_ERR_IO, "%s", gerr->message);
-		g_error_free(gerr);
+	error = mlk_load_file_read(path, &text, &len, err);
+	if (error != 0)
 		return (error);
-	}
 	if (len > FILE_MAX) {
 		error = mlk_error_set(err, MLK_ERR_SETTINGS,
 		    "%s: %zu bytes, at most %u", path, len, FILE_MAX);
--- a/load/ideal_report.c
+++ b/load/ideal_report.c
@@ -6,6 +6,7 @@
 #include <glib.h>
 #include <jansson.h>
 
+#include "files.h"
 #include "ideal.h"
 
 /* A window of fewer jobs says little: one job in ten is a worth of 0.1. */
@@ -243,7 +244,6 @@
 {
 	json_t *results = json_array(), *root;
 	uint32_t i;
-	int rc;
 
 	for (i = 0; i < report->n; i++)
 		(void)json_array_append_new(results, result_json(report, i));
@@ -253,10 +253,5 @@
 	    report->jobs->capacity, "jobs_per_s", report->jobs->rate, "jobs",
 	    (json_int_t)report->jobs->counted, "out_of_reach",
 	    (json_int_t)report->jobs->out_of_reach, "results", results);
-	rc = json_dump_file(root, path, JSON_INDENT(1));
-	json_decref(root);
-	if (rc != 0)
-		return (
-		    mlk_error_set(err, MLK_ERR_IO, "cannot write %s", path));
-	return (0);
+	return (mlk_load_json_write(path, root, err));
 }
--- a/load/report_json.c
+++ b/load/report_json.c
@@ -5,6 +5,7 @@
 
 #include <jansson.h>
 
+#include "files.h"
 #include "report.h"
 
 static json_t *
@@ -130,14 +131,8 @@
 {
 	json_t *root = json_array();
 	uint32_t i;
-	int rc;
 
 	for (i = 0; i < n; i++)
 		(void)json_array_append_new(root, run_json(&runs[i]));
-	rc = json_dump_file(root, path, JSON_INDENT(1));
-	json_decref(root);
-	if (rc != 0)
-		return (
-		    mlk_error_set(err, MLK_ERR_IO, "cannot write %s", path));
-	return (0);
+	return (mlk_load_json_write(path, root, err));
 }
--- a/load/scenario.c
+++ b/load/scenario.c
@@ -11,6 +11,7 @@
 #include <cyaml/cyaml.h>
 #include <glib.h>
 
+#include "files.h"
 #include "scenario.h"
 
 #define SHARE_SUM_TOLERANCE 0.001
@@ -393,17 +394,14 @@
 mlk_load_scenario_read(
     const char *path, struct mlk_load_scenario **out, struct mlk_error *err)
 {
-	GError *gerr = NULL;
 	char *text;
 	gsize len;
 	int error;
 
 	*out = NULL;
-	if (!g_file_get_contents(path, &text, &len, &gerr)) {
-		error = mlk_error_set(err, MLK_ERR_IO, "%s", gerr->message);
-		g_error_free(gerr);
+	error = mlk_load_file_read(path, &text, &len, err);
+	if (error != 0)
 		return (error);
-	}
 	error = mlk_load_scenario_parse(text, len, path, out, err);
 	g_free(text);
 	return (error);
