--- a/review/rig-3/scenario_channel.c
+++ b/review/rig-3/scenario_channel.c
@@ -81,12 +81,19 @@
 	free(body);
 }
 
+/*
+ * Sends the next n requests in one piece.
+ */
 static void
-channel_send(struct rig *r)
+channel_send(struct rig *r, uint32_t n)
 {
-	const char *text = channel.text[channel.sent++];
+	char text[2 * sizeof(channel.text[0])] = "";
 
-	note(r, "channel: sends %.40s", text);
+	while (n-- > 0) {
+		note(r, "channel: sends %.40s", channel.text[channel.sent]);
+		(void)g_strlcat(
+		    text, channel.text[channel.sent++], sizeof(text));
+	}
 	if (send(channel.fd, text, strlen(text), MSG_NOSIGNAL) !=
 	    (ssize_t)strlen(text))
 		r->failed = true;
@@ -157,14 +164,12 @@
 	if (r->step == 0 && at >= SEND_MS) {
 		r->step++;
 		channel_open(r);
-		channel_send(r);
-		if (r->trouble != 0)
-			channel_send(r);
+		channel_send(r, r->trouble != 0 ? 2 : 1);
 	}
 	if (channel.fd >= 0)
 		channel_read(r);
 	if (r->step == 1 && channel.sent == 1 && channel.answers == 1)
-		channel_send(r);
+		channel_send(r, 1);
 	if (r->step == 1 && at >= CHECK_MS) {
 		r->step++;
 		cpu_before = cpu_of(r->procs[0].pid);
