--- a/review/12/run.sh
+++ b/review/15/run.sh
@@ -10,7 +10,7 @@
 rc=2
 # A port may be taken between its choice and its use: try again.
 for _ in 1 2 3; do
-	timeout -k 5 35 ../../target/review-3/rig --scenario clock \
+	timeout -k 5 35 ../../target/review-3/rig --scenario channel \
 	    --trouble "${TROUBLE:-1}" --programs ../../target/platform \
 	    --dir "$dir" --record record.txt
 	rc=$?
