--- a/review/rig-3/rig.c
+++ b/review/rig-3/rig.c
@@ -198,7 +198,8 @@
 find_scenario(const char *name)
 {
 	static const struct scenario *const all[] = { &scenario_lease,
-		&scenario_clock, &scenario_cancel, &scenario_channel };
+		&scenario_clock, &scenario_cancel, &scenario_channel,
+		&scenario_handshake };
 	size_t i;
 
 	for (i = 0; name != NULL && i < G_N_ELEMENTS(all); i++) {
--- a/review/rig-3/rig.h
+++ b/review/rig-3/rig.h
@@ -155,6 +155,7 @@
 extern const struct scenario scenario_clock;
 extern const struct scenario scenario_cancel;
 extern const struct scenario scenario_channel;
+extern const struct scenario scenario_handshake;
 
 /* rig.c */
 void note(struct rig *r, const char *fmt, ...)
