--- a/review/rig-3/rig.c
+++ b/review/rig-3/rig.c
@@ -198,7 +198,7 @@
 find_scenario(const char *name)
 {
 	static const struct scenario *const all[] = { &scenario_lease,
-		&scenario_clock, &scenario_cancel, &scenario_channel,
+		&scenario_clock, &scenario_cancel, &scenario_flap,
 		&scenario_handshake };
 	size_t i;
 
--- a/review/rig-3/rig.h
+++ b/review/rig-3/rig.h
@@ -154,7 +154,7 @@
 extern const struct scenario scenario_lease;
 extern const struct scenario scenario_clock;
 extern const struct scenario scenario_cancel;
-extern const struct scenario scenario_channel;
+extern const struct scenario scenario_flap;
 extern const struct scenario scenario_handshake;
 
 /* rig.c */
