--- a/review/rig-3/rig.c
+++ b/review/rig-3/rig.c
@@ -185,6 +185,7 @@
 	if (r->loop == NULL ||
 	    mlk_loop_listen_http(r->loop, "127.0.0.1:0", &err) != 0)
 		return (-1);
+	mlk_loop_http_close_after(r->loop, r->scenario->close_channels);
 	r->store_port = mlk_loop_http_port(r->loop);
 	for (i = 0; i < r->nworkers; i++) {
 		if (mlk_loop_listen_http(r->loop, "127.0.0.1:0", &err) != 0)
--- a/review/rig-3/rig.h
+++ b/review/rig-3/rig.h
@@ -142,6 +142,11 @@
 	uint32_t entries;
 	uint32_t workers;
 	uint32_t cpu[WORKERS_MAX];
+	/*
+	 * Each answer ends its channel, so that none outlives the life of its
+	 * worker.
+	 */
+	bool close_channels;
 	/*
 	 * Called every few ms with the time since all entries were ready;
 	 * returns false at the end.
--- a/review/rig-3/scenario_clock.c
+++ b/review/rig-3/scenario_clock.c
@@ -83,6 +83,7 @@
 	.entries = 2,
 	.workers = 2,
 	.cpu = { 96000, 64000 },
+	.close_channels = true,
 	.tick = tick,
 	.started = started,
 };
--- a/review/rig-3/scenario_flap.c
+++ b/review/rig-3/scenario_flap.c
@@ -79,6 +79,7 @@
 	.entries = 2,
 	.workers = 7,
 	.cpu = { 96000, 64000, 64000, 64000, 64000, 64000, 64000 },
+	.close_channels = true,
 	.tick = tick,
 	.started = started,
 };
