--- a/review/rig-3/rig.h
+++ b/review/rig-3/rig.h
@@ -30,6 +30,7 @@
 struct run {
 	char task[64];
 	uint32_t run;
+	int64_t begun_at;
 	int64_t ends_at;
 	int64_t stop_at; /* 0: not being stopped */
 	uint32_t cpu;
--- a/review/rig-3/workers.c
+++ b/review/rig-3/workers.c
@@ -200,6 +200,7 @@
 	(void)g_strlcpy(run.task, task, sizeof(run.task));
 	run.run = number;
 	run.cpu = job->cpu;
+	run.begun_at = r->now;
 	/* The step is the third part of the name ID.K.STEP.INDEX. */
 	run.ends_at =
 	    r->now + job->work_ms[strncmp(task + 16, ".0.0.", 5) == 0 ? 0 : 1];
@@ -241,14 +242,16 @@
 	json_t *running = json_array(), *ended = json_array();
 	const struct run *run;
 	const struct end *end;
+	int64_t percent;
 	guint i;
 
-	(void)r;
 	for (i = 0; i < w->runs->len; i++) {
 		run = &g_array_index(w->runs, struct run, i);
+		percent = (r->now - run->begun_at) * 100 /
+		    (run->ends_at - run->begun_at);
 		(void)json_array_append_new(running,
-		    json_pack("[s,i,s,i,i]", run->task, (int)run->run, "", 10,
-			(int)run->cpu));
+		    json_pack("[s,i,s,i,i]", run->task, (int)run->run, "",
+			(int)MIN(percent, 99), (int)run->cpu));
 	}
 	for (i = 0; i < w->ends->len && i < 500; i++) {
 		end = &g_array_index(w->ends, struct end, i);
