net: the first request on a connection may be of any age

Cause: the age of a first request counted from accept(), which says nothing of when it was sent. A partition that delays the request may delay the last packet of the handshake too, and a connection may wait in the backlog of a process that does not run.

--- a/include/monsoonlock/net.h
+++ b/include/monsoonlock/net.h
@@ -96,7 +96,8 @@
 	 * A network partition can delay a request until long after its client
 	 * has given up.  A request with side effects (not GET or HEAD) that may
 	 * be this old is passed on only if the client is still connected 20 ms
-	 * later.  0: all requests are passed on at once.
+	 * later; the first request on a connection may be of any age.  0: all
+	 * requests are passed on at once.
 	 */
 	uint32_t http_confirm_after_ms;
 	const char *tls_cert; /* PEM paths; both NULL: plain HTTP */
@@ -165,6 +166,8 @@
  * (graceful shutdown) waits until there are none.
  */
 size_t mlk_loop_http_pending(const struct mlk_loop *loop);
+/* Requests held so far; see http_confirm_after_ms. */
+uint64_t mlk_loop_http_held(const struct mlk_loop *loop);
 
 struct mlk_http_call {
 	uint64_t call; /* id chosen by the program; echoed in the response */
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -5,8 +5,10 @@
  *
  * HTTP tells neither when a request was sent nor whether its client still waits
  * for it.  What is known is that it was sent after the previous reply on its
- * connection.  A request that may be old by this bound is held for CONFIRM_MS
- * and passed on if the client is still connected then.
+ * connection.  Nothing bounds the age of the first request: a partition that
+ * delays it may have delayed the end of the handshake too, and an established
+ * connection may have waited to be accepted.  A request that may be old is held
+ * for CONFIRM_MS and passed on if the client is still connected then.
  */
 #define _GNU_SOURCE /* POLLRDHUP */
 #include <netinet/tcp.h>
@@ -42,7 +44,8 @@
 	bool close_after;
 	bool confirming; /* its request is held, see CONFIRM_MS */
 	int64_t received; /* its request was complete; loop clock, ns */
-	int64_t idle_since; /* accepted, or last reply written; loop clock */
+	int64_t replied_at; /* last reply was written; loop clock, ns; 0: none
+			       was */
 	int reject_status; /* error status to send after the body; 0: none */
 	const char *method;
 	char *path;
@@ -309,10 +312,24 @@
 	    &on, sizeof(on));
 	c->confirming = true;
 	c->loop->http_pending++;
+	c->loop->http_held++;
 	lws_set_timer_usecs(c->wsi, (lws_usec_t)CONFIRM_MS * LWS_US_PER_MS);
 	return (0);
 }
 
+/*
+ * Tells whether a complete request may have been sent http_confirm_after_ms
+ * ago.
+ */
+static bool
+may_be_old(const struct http_conn *c)
+{
+	int64_t after_ms = c->loop->options.http_confirm_after_ms;
+
+	return (c->replied_at == 0 ||
+	    c->received - c->replied_at >= after_ms * MLK_NSEC_PER_MSEC);
+}
+
 /*
  * Handles a complete request: rejects it, passes it to the application or holds
  * it until the client is confirmed.
@@ -342,8 +359,7 @@
 	c->received = mlk_clock_now(options->clock);
 	if (options->http_confirm_after_ms == 0 || is_safe(c))
 		return (pass_on(c));
-	if (c->received - c->idle_since >=
-	    (int64_t)options->http_confirm_after_ms * MLK_NSEC_PER_MSEC)
+	if (may_be_old(c))
 		return (confirm_client(c));
 	return (pass_on_connected(c));
 }
@@ -446,7 +462,7 @@
 {
 	bool close_after = c->close_after;
 
-	c->idle_since = mlk_clock_now(c->loop->options.clock);
+	c->replied_at = mlk_clock_now(c->loop->options.clock);
 	c->loop->http_pending--;
 	request_reset(c);
 	if (close_after || lws_http_transaction_completed(c->wsi) != 0)
@@ -622,7 +638,6 @@
 	c->loop = loop;
 	c->wsi = wsi;
 	c->port = port;
-	c->idle_since = mlk_clock_now(loop->options.clock);
 	loop->http_connections++;
 	lws_set_opaque_user_data(wsi, c);
 	start_timer(c);
@@ -683,3 +698,9 @@
 {
 	return (loop->http_pending);
 }
+
+uint64_t
+mlk_loop_http_held(const struct mlk_loop *loop)
+{
+	return (loop->http_held);
+}
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -45,6 +45,7 @@
 	uint32_t http_connections;
 	bool http_close_after;
 	size_t http_pending;
+	uint64_t http_held; /* requests held so far, see CONFIRM_MS */
 
 	GHashTable *calls; /* by id */
 	GHashTable *lanes; /* by number and TLS */
--- a/test/test_net.c
+++ b/test/test_net.c
@@ -647,6 +647,37 @@
 	assert_int_equal(mlk_loop_http_pending(loop), 0);
 }
 
+/*
+ * Guards against a request that is passed on although a partition held up the
+ * handshake of its connection too, so that it is the first one on a connection
+ * that has just been accepted.
+ */
+static void
+test_held_handshake_dropped(void **state)
+{
+	uint32_t tries = 0, n, dropped;
+	int64_t sent;
+	int fd;
+
+	(void)state;
+	do {
+		assert_true(tries++ < 20);
+		n = requests;
+		dropped = clients_dropped;
+		sent = now();
+		fd = connect_raw(request_text);
+		run_ticks(1);
+		(void)close(fd);
+		/* On a busy machine the hold may be over before the close. */
+	} while (now() - sent >= HOLD_NS);
+	run_until(&clients_dropped, dropped + 1);
+	run_ticks(5);
+	assert_int_equal(requests, n);
+	assert_int_equal(clients_dropped, dropped + 1);
+	assert_int_equal(mlk_loop_http_held(loop), tries);
+	assert_int_equal(mlk_loop_http_pending(loop), 0);
+}
+
 /*
  * Guards against a request that is passed on although its client disconnected
  * while it waited to be read, also when it is the first of its connection.
@@ -712,6 +743,26 @@
 	(void)close(fd);
 }
 
+/*
+ * Guards against a first request that is never passed on, and against requests
+ * that are held although the reply before them bounds their age.
+ */
+static void
+test_first_request_held_once(void **state)
+{
+	int fd, i;
+
+	(void)state;
+	fd = connect_raw("");
+	assert_true(exchange(fd) >= HOLD_NS);
+	for (i = 0; i < 5; i++)
+		(void)exchange(fd);
+	assert_int_equal(mlk_loop_http_held(loop), 1);
+	assert_int_equal(requests, 6);
+	assert_int_equal(clients_dropped, 0);
+	(void)close(fd);
+}
+
 /*
  * Guards against a planned stop that does not wait for a held request, whose
  * client would get no answer.
@@ -1328,8 +1379,10 @@
 		NET_TEST(test_client_gone),
 		NET_TEST(test_half_closed),
 		CONFIRM_TEST(test_delayed_request_dropped),
+		CONFIRM_TEST(test_held_handshake_dropped),
 		CONFIRM_TEST(test_closed_before_read),
 		CONFIRM_TEST(test_held_request_passed_on),
+		CONFIRM_TEST(test_first_request_held_once),
 		CONFIRM_TEST(test_held_request_is_pending),
 		NET_TEST(test_call_results),
 		NET_TEST(test_slow_response),
