dispatch: starts wait until the worker's life is confirmed

Cause: an agent gave starts by the capacity of a life of which the last sign was up to 0.5 s old, since an idle worker is listed every 500 ms. Orders name the id, which stays the same.

Change: life.h keeps the evidence that the worker is in the life in use, as of the sending time of the order that was answered. A start leaves only within 200 ms of it; otherwise it waits for a listing, which names the life (runner_waiting.c). Without one, or if it names another life, the tasks are returned as not run. Repeated starts take the same way. With 50 ms for a connection this is less than the 420 ms for which a flapping worker is down, so no start reaches the next life.

Related: a start repeated after a refused connection had the same fault; an idle worker that is silent no longer keeps tasks until leases expire; a listing that names an earlier life makes the worker unavailable.

--- a/include/monsoonlock/dispatch.h
+++ b/include/monsoonlock/dispatch.h
@@ -327,6 +327,7 @@
 	X(starts, "Starts sent to the worker")                       \
 	X(starts_again, "Starts repeated under a later number")      \
 	X(starts_unanswered, "Starts that got no answer")            \
+	X(starts_waited, "Starts that waited for a worker's answer") \
 	X(starts_void, "Unanswered starts that never took effect")   \
 	X(stops, "Stops sent to the worker")                         \
 	X(lists, "Listing orders sent to the worker")                \
@@ -349,6 +350,7 @@
 	X(addrs_ignored, "Addresses of entries that are not used")   \
 	X(superseded, "Times that another agent took the worker")    \
 	X(boots, "Lives of the worker seen")                         \
+	X(lives_doubted, "Answers that may be of another life")      \
 	X(disowned, "Identities that the worker did not confirm")    \
 	X(foreign, "Announcements of another pool")                  \
 	X(evacuated, "Times that the data centre was evacuated")
--- a/src/dispatch/runner.c
+++ b/src/dispatch/runner.c
@@ -156,7 +156,7 @@
 
 	if (!w->known || w->left_at != 0 || !r->predecessor_done ||
 	    !w->no_foreign_runs || w->boot != w->info.boot || w->not_sent > 0 ||
-	    runner_superseded(r) || runner_away(r))
+	    w->life_missed || runner_superseded(r) || runner_away(r))
 		return (MLK_WORKER_UNAVAILABLE);
 	if (r->stopping || w->info.state != MLK_WORKER_READY)
 		return (MLK_WORKER_DRAINING);
@@ -209,8 +209,8 @@
 	if (!r->stopping || r->exited)
 		return;
 	if (r->now >= r->stop_at - EXIT_MARGIN_NS) {
-		for (i = 0; i < r->runs->len; i++) {
-			run = g_ptr_array_index(r->runs, i);
+		for (i = r->runs->len; i > 0; i--) {
+			run = g_ptr_array_index(r->runs, i - 1);
 			runner_run_stop(r, run, MLK_RUN_STOPPED);
 		}
 	}
@@ -284,6 +284,7 @@
 	runner_held_due(r);
 	runner_offers_due(r);
 	runner_candidate_due(r);
+	runner_waiting_due(r);
 	runner_list_due(r);
 	stop_due(r);
 	runner_evacuations_due(r);
--- a/src/dispatch/runner_listing.c
+++ b/src/dispatch/runner_listing.c
@@ -101,7 +101,7 @@
 		return;
 	}
 	run->name.run++;
-	runner_order_start(r, run);
+	runner_run_begin(r, run);
 }
 
 /*
@@ -128,6 +128,23 @@
 	}
 }
 
+/*
+ * A listing names an earlier life than the one in use.  Unless the worker has
+ * named that one since, it gets no starts.
+ */
+static void
+other_life_listed(struct mlk_runner *r, const struct order *order)
+{
+	struct worker *w = &r->worker;
+
+	if (order->sent_at > w->life.confirmed_at) {
+		life_doubt(&w->life, r->now);
+		w->life_missed = true;
+		w->list_after = r->now + PROBE_NS;
+	}
+	runner_disowned(r, order);
+}
+
 /*
  * Handles an answered listing.
  */
@@ -139,11 +156,13 @@
 	bool foreign;
 
 	if (ev->u.order.boot != 0 && ev->u.order.boot < w->boot) {
-		runner_disowned(r, order);
+		other_life_listed(r, order);
 		return;
 	}
 	w->confirmed = true;
 	runner_note_boot(r, ev->u.order.boot);
+	life_listed(&w->life, ev->u.order.clock_ms, order->sent_at, r->now);
+	w->life_missed = false;
 	w->ack_sent = MAX(w->ack_sent, MIN(w->acked, order->ack));
 	apply_ends(r, ev);
 	/* A delayed listing may show runs that have ended since. */
@@ -204,15 +223,33 @@
 }
 
 /*
- * Sends the listings that are due: one that confirms the current fence, and one
- * that waits for the next end.
+ * Sends the listing that the starts that wait need.  One that waits for an end
+ * may be in flight and comes too late for them.
+ */
+static void
+list_for_waiting(struct mlk_runner *r)
+{
+	struct worker *w = &r->worker;
+	uint32_t slot = free_slot(r);
+
+	if (slot < LISTS_MAX) {
+		runner_order_list(r, slot, 0);
+	} else if (w->fence_list == 0) {
+		runner_order_list_fence(r, false);
+		w->list_after = r->now + LIST_RETRY_NS;
+	}
+}
+
+/*
+ * Sends the listings that are due: one that confirms the current fence or the
+ * life of the worker, and one that waits for the next end.
  */
 void
 runner_list_due(struct mlk_runner *r)
 {
 	struct worker *w = &r->worker;
+	bool away, confirm;
 	uint32_t slot;
-	bool away;
 
 	if (!w->known || runner_superseded(r))
 		return;
@@ -220,17 +257,21 @@
 	if (w->left_at != 0 && r->nactive == 0 && w->acked <= w->ack_sent)
 		return;
 	away = runner_away(r);
+	confirm = w->fence_unconfirmed || w->life_missed || away;
 	/*
 	 * A listing for a worker that is away or has refused a connection uses
 	 * a new one, since the old ones may be dead.
 	 */
-	if ((w->fence_unconfirmed || away) && w->fence_list == 0 &&
-	    r->now >= w->list_after) {
+	if (confirm && w->fence_list == 0 && r->now >= w->list_after) {
 		runner_order_list_fence(r, away || w->not_sent > 0);
 		w->list_after = r->now + (away ? PROBE_NS : LIST_RETRY_NS);
 	}
-	if (w->fence_unconfirmed || away || !list_wanted(r))
+	if (confirm || !list_wanted(r))
 		return;
+	if (runner_has_waiting(r)) {
+		list_for_waiting(r);
+		return;
+	}
 	slot = free_slot(r);
 	if (slot < LISTS_MAX)
 		runner_order_list(r, slot,
--- a/src/dispatch/runner_orders.c
+++ b/src/dispatch/runner_orders.c
@@ -293,8 +293,8 @@
  * starts of all runs in the table.  Their resources were reserved under the
  * capacity of the boot at that time.
  */
-static bool
-worker_takes_reserved(const struct mlk_runner *r)
+bool
+runner_takes_reserved(const struct mlk_runner *r)
 {
 	const struct worker *w = &r->worker;
 
@@ -308,7 +308,7 @@
 {
 	return (!run->stop_wanted && run->tries < START_TRIES_MAX &&
 	    !runner_superseded(r) && !runner_evacuated(r) &&
-	    r->now < run->deadline && worker_takes_reserved(r) &&
+	    r->now < run->deadline && runner_takes_reserved(r) &&
 	    runner_lease_end(r) - r->now >= LEASE_MIN_NS);
 }
 
@@ -326,7 +326,7 @@
 	/* An earlier submission of the job may have used some run numbers. */
 	run->name.run += run->tries;
 	r->counters.starts_again++;
-	runner_order_start(r, run);
+	runner_run_begin(r, run);
 }
 
 static void
@@ -385,7 +385,34 @@
 }
 
 /*
- * Updates what is known of the worker's liveness, clock and fence.
+ * Updates what is known of the worker's life.  An answered listing names it,
+ * see runner_listed().
+ */
+static void
+note_life(struct mlk_runner *r, const struct order *order,
+    const struct mlk_runner_event *ev)
+{
+	enum mlk_order_result result = ev->u.order.result;
+	struct life *life = &r->worker.life;
+
+	if (!was_answered(result))
+		life_unanswered(life, order->sent_at, r->now);
+	else if (result == MLK_ORDER_OTHER_WORKER)
+		life_doubt(life, r->now);
+	else if ((order->type != MLK_ORDER_LIST || result != MLK_ORDER_OK) &&
+	    ev->u.order.clock_ms > 0 &&
+	    life_answered(life, ev->u.order.clock_ms, order->sent_at, r->now)) {
+		r->counters.lives_doubted++;
+		runner_log(r, MLK_LOG_INFO, NULL,
+		    "the worker's clock shows %" PRId64
+		    " ms, not what follows from %" PRId64
+		    " ms: it may have restarted",
+		    ev->u.order.clock_ms, life->clock_ms);
+	}
+}
+
+/*
+ * Updates what is known of the worker's liveness, life, clock and fence.
  */
 static void
 note_answer(struct mlk_runner *r, const struct order *order,
@@ -393,6 +420,7 @@
 {
 	enum mlk_order_result result = ev->u.order.result;
 
+	note_life(r, order, ev);
 	if (result != MLK_ORDER_NOT_SENT)
 		r->worker.leases_expired_at =
 		    MAX(r->worker.leases_expired_at, order->leases_expired_at);
@@ -470,6 +498,8 @@
 		r->worker.fence_list = 0;
 	if (was_answered(ev->u.order.result))
 		r->worker.list_retry = 0;
+	else
+		runner_waiting_unanswered(r);
 	if (ev->u.order.result == MLK_ORDER_OK)
 		runner_listed(r, ev, order);
 	else if (ev->u.order.result == MLK_ORDER_NO_ANSWER)
--- a/src/dispatch/runner_priv.h
+++ b/src/dispatch/runner_priv.h
@@ -26,6 +26,7 @@
 #include "corun.h"
 #include "evacuations.h"
 #include "health.h"
+#include "life.h"
 #include "skew.h"
 #include "speed.h"
 
@@ -130,10 +131,12 @@
 #define RUNNER_NAMED_MAX 32U
 
 enum run_state {
-	RUN_STARTING, /* start sent; -> ACTIVE, UNCONFIRMED, or ended without a
-			 run */
-	RUN_UNCONFIRMED, /* the start got no answer; -> ACTIVE, STARTING, or
-			    ended */
+	RUN_WAITING, /* no start is in flight, see runner_waiting.c; ->
+			STARTING, or ended without a run */
+	RUN_STARTING, /* start sent; -> ACTIVE, UNCONFIRMED, WAITING, or ended
+			 without a run */
+	RUN_UNCONFIRMED, /* the start got no answer; -> ACTIVE, STARTING,
+			    WAITING, or ended */
 	RUN_ACTIVE, /* -> STOPPING, or ended */
 	RUN_STOPPING, /* -> ended */
 };
@@ -252,6 +255,9 @@
 			     unknown */
 	int64_t clock_at;
 	uint64_t boot; /* of the newest listing or announcement */
+	struct life life; /* that this boot number names */
+	bool life_missed; /* a listing for it got no answer or named another
+			     one, and none has named it since */
 	uint64_t fence; /* used for the next order */
 	uint32_t fence_rejections; /* consecutive orders rejected with the
 				      current fence */
@@ -354,6 +360,12 @@
 void runner_runs_lost(struct mlk_runner *r, const char *cause);
 void runner_runs_due(struct mlk_runner *r);
 
+/* runner_waiting.c */
+void runner_run_begin(struct mlk_runner *r, struct run *run);
+bool runner_has_waiting(const struct mlk_runner *r);
+void runner_waiting_unanswered(struct mlk_runner *r);
+void runner_waiting_due(struct mlk_runner *r);
+
 /* runner_held.c */
 GPtrArray *runner_held_create(void);
 void runner_forecast_end(
@@ -380,6 +392,7 @@
 
 /* runner_orders.c */
 void runner_order_start(struct mlk_runner *r, struct run *run);
+bool runner_takes_reserved(const struct mlk_runner *r);
 bool runner_may_start_again(const struct mlk_runner *r, const struct run *run);
 void runner_order_stop(struct mlk_runner *r, struct run *run);
 void runner_order_stop_foreign(
--- a/src/dispatch/runner_runs.c
+++ b/src/dispatch/runner_runs.c
@@ -180,7 +180,7 @@
 	mlk_resources_add(&r->reserved, &run->resources);
 	r->nactive++;
 	runner_corun_load(r);
-	runner_order_start(r, run);
+	runner_run_begin(r, run);
 }
 
 /*
@@ -212,12 +212,16 @@
 
 /*
  * Stops a run and reports its end as `end`.  If its start has no answer, the
- * stop is sent when the run is known to be active.
+ * stop is sent when the run is known to be active.  A run whose start waits
+ * ends at once as not run and is freed.
  */
 void
 runner_run_stop(struct mlk_runner *r, struct run *run, enum mlk_run_end end)
 {
 	switch (run->state) {
+	case RUN_WAITING:
+		runner_run_ended(r, run, MLK_RUN_REFUSED);
+		return;
 	case RUN_STARTING:
 	case RUN_UNCONFIRMED:
 		request_stop(r, run, end);
@@ -234,7 +238,8 @@
 
 /*
  * Ends all runs, also those whose start is unanswered: every lease that the
- * worker may have been granted has expired.
+ * worker may have been granted has expired.  Those whose start waits are no
+ * runs yet.
  */
 void
 runner_runs_lost(struct mlk_runner *r, const char *cause)
@@ -245,6 +250,8 @@
 
 	for (i = r->runs->len; i > 0; i--) {
 		run = g_ptr_array_index(r->runs, i - 1);
+		if (run->state == RUN_WAITING)
+			continue;
 		runner_run_ended(
 		    r, run, run->stop_wanted ? run->stop_end : MLK_RUN_LOST);
 		n++;
--- a/src/dispatch/runner_worker.c
+++ b/src/dispatch/runner_worker.c
@@ -90,6 +90,7 @@
 	if (w->boot != 0)
 		runner_fence_raise(r, "the worker has restarted");
 	w->boot = boot;
+	life_begin(&w->life);
 	w->fence_held = false;
 	memset(&r->health, 0, sizeof(r->health));
 	w->acked = 0;
@@ -285,6 +286,7 @@
 	    w->info.id);
 	w->known = false;
 	w->boot = 0;
+	life_begin(&w->life);
 	memset(&w->info, 0, sizeof(w->info));
 }
 
--- a/test/test_runner_fence.c
+++ b/test/test_runner_fence.c
@@ -3,6 +3,7 @@
  * after a pause of the first one.  The runners are real; the worker is
  * simulated and carries out orders by its fence.
  */
+#include <inttypes.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -57,6 +58,7 @@
 	bool crashes_at_start; /* the worker carries out a start, crashes and
 				  is back at once under its id */
 	bool dark; /* no order arrives */
+	bool refuses_connections; /* no order is sent */
 	uint32_t task_cpu; /* of the tasks that the entry sends */
 };
 
@@ -160,7 +162,9 @@
 			ev = (struct mlk_runner_event){ .type =
 							    MLK_RUNNER_ORDER };
 			ev.u.order.order = pending.order.order;
-			ev.u.order.result = MLK_ORDER_NO_ANSWER;
+			ev.u.order.result = t->refuses_connections ?
+			    MLK_ORDER_NOT_SENT :
+			    MLK_ORDER_NO_ANSWER;
 			apply(t, pending.agent, &ev);
 			continue;
 		}
@@ -310,7 +314,7 @@
  * The entry sends the tasks of a job, which run long.
  */
 static void
-send_runs(struct bench *t, struct agent *a, uint32_t n)
+post_runs(struct bench *t, struct agent *a, uint64_t job, uint32_t n)
 {
 	struct mlk_run_task tasks[TASKS_MAX] = { 0 };
 	struct mlk_msg msg = { .type = MLK_MSG_RUN };
@@ -324,12 +328,31 @@
 
 	msg.u.run.sent_at = (uint64_t)t->now;
 	msg.u.run.seq = 1;
-	msg.u.run.job = JOB;
-	(void)strcpy(msg.u.run.id, "5c0e7a21d94b36f8");
+	msg.u.run.job = job;
+	(void)snprintf(msg.u.run.id, sizeof(msg.u.run.id), "%016" PRIx64, job);
 	msg.u.run.deadline_ms = 4 * WORK_MS;
 	msg.u.run.n = n;
 	msg.u.run.tasks = tasks;
 	deliver(t, a, &msg);
+}
+
+/*
+ * The entry sends the tasks of a job, and the time of an order passes.
+ */
+static void
+send_runs(struct bench *t, struct agent *a, uint32_t n)
+{
+	post_runs(t, a, JOB, n);
+	advance(t, 2 * TICK_MS, NULL);
+}
+
+/*
+ * The same with one task of another job.
+ */
+static void
+send_run_of(struct bench *t, struct agent *a, uint64_t job)
+{
+	post_runs(t, a, job, 1);
 	advance(t, 2 * TICK_MS, NULL);
 }
 
@@ -478,6 +501,173 @@
 	assert_int_equal(t->b.starts, 1);
 }
 
+/*
+ * Advances the time until the worker has just answered a listing of the first
+ * agent, and returns how long that took in ms.
+ */
+static int64_t
+until_listed(struct bench *t)
+{
+	uint32_t accepted = t->a.accepted;
+	int64_t from = t->now;
+
+	while (t->a.accepted == accepted) {
+		assert_true(t->now - from < 1000);
+		advance(t, TICK_MS, NULL);
+	}
+	return (t->now - from);
+}
+
+/*
+ * The idle worker is down for a time that its agent does not notice and is back
+ * under its id with half of the capacity for TASKS_MAX tasks.
+ */
+static void
+restart_smaller_unnoticed(struct bench *t)
+{
+	t->task_cpu = 8000;
+	(void)until_listed(t);
+	t->dark = true;
+	advance(t, 420, NULL);
+	t->worker.capacity.cpu = TASKS_MAX * 8000 / 2;
+	restart_worker(t);
+	t->dark = false;
+}
+
+/*
+ * Guards against starts that exceed the capacity of an idle worker that has
+ * restarted unnoticed under its id as a smaller one.
+ */
+static void
+test_smaller_after_unnoticed_restart(void **state)
+{
+	struct bench *t = *state;
+
+	restart_smaller_unnoticed(t);
+	send_runs(t, &t->a, TASKS_MAX);
+	advance(t, 100, NULL);
+	assert_int_equal(t->worker.over_capacity, 0);
+	assert_int_equal(t->worker.nruns, 0);
+	/* Nothing was started, so the tasks may start elsewhere at once. */
+	assert_int_equal(t->a.ends, TASKS_MAX);
+	assert_int_equal(t->a.last_end, MLK_RUN_REFUSED);
+	assert_int_equal(t->a.state, MLK_WORKER_UNAVAILABLE);
+	announce(t, &t->a);
+	advance(t, 200, NULL);
+	assert_int_equal(t->a.state, MLK_WORKER_READY);
+	send_runs(t, &t->a, TASKS_MAX);
+	advance(t, 100, NULL);
+	assert_int_equal(t->worker.nruns, TASKS_MAX / 2);
+	assert_int_equal(t->worker.over_capacity, 0);
+}
+
+/*
+ * Guards against one task that is too large for the next life of the worker.
+ */
+static void
+test_single_task_after_unnoticed_restart(void **state)
+{
+	struct bench *t = *state;
+
+	restart_smaller_unnoticed(t);
+	t->task_cpu = t->worker.capacity.cpu + 1000;
+	send_run(t, &t->a);
+	advance(t, 100, NULL);
+	assert_int_equal(t->worker.over_capacity, 0);
+	assert_int_equal(t->worker.nruns, 0);
+	assert_int_equal(t->a.ends, 1);
+}
+
+/*
+ * Guards against a start that is repeated at a worker which has restarted as a
+ * smaller one meanwhile: its connections were refused in between.
+ */
+static void
+test_refused_start_after_restart(void **state)
+{
+	struct bench *t = *state;
+
+	t->task_cpu = 8000;
+	(void)until_listed(t);
+	t->dark = true;
+	t->refuses_connections = true;
+	send_runs(t, &t->a, TASKS_MAX);
+	t->worker.capacity.cpu = TASKS_MAX * 8000 / 2;
+	restart_worker(t);
+	t->dark = false;
+	advance(t, 200, NULL);
+	assert_int_equal(t->worker.over_capacity, 0);
+	assert_int_equal(t->worker.nruns, 0);
+	assert_int_equal(t->a.ends, TASKS_MAX);
+	assert_int_equal(t->a.last_end, MLK_RUN_REFUSED);
+}
+
+/*
+ * Guards against tasks that are kept at an idle worker which does not answer,
+ * and against an agent that goes on to attract work for it.
+ */
+static void
+test_silent_idle_worker_returns_tasks(void **state)
+{
+	struct bench *t = *state;
+
+	(void)until_listed(t);
+	advance(t, 300, NULL);
+	t->dark = true;
+	send_runs(t, &t->a, 3);
+	advance(t, TICK_MS, NULL);
+	assert_int_equal(t->a.ends, 3);
+	assert_int_equal(t->a.last_end, MLK_RUN_REFUSED);
+	assert_int_equal(t->a.state, MLK_WORKER_UNAVAILABLE);
+	t->dark = false;
+	advance(t, 300, NULL);
+	assert_int_equal(t->a.state, MLK_WORKER_READY);
+	assert_int_equal(t->a.starts, 0);
+	send_runs(t, &t->a, 3);
+	assert_int_equal(t->worker.nruns, 3);
+}
+
+/*
+ * Guards against starts that wait although the worker has just answered.
+ */
+static void
+test_confirmed_worker_starts_at_once(void **state)
+{
+	struct bench *t = *state;
+	const struct mlk_runner_counters *counters;
+
+	counters = mlk_runner_counters(t->a.r);
+	(void)until_listed(t);
+	send_runs(t, &t->a, 2);
+	assert_int_equal(t->worker.nruns, 2);
+	advance(t, 1000, NULL);
+	send_run_of(t, &t->a, JOB + 1);
+	assert_int_equal(t->worker.nruns, 3);
+	assert_int_equal(counters->starts_waited, 0);
+}
+
+/*
+ * Guards against a task that is started although its job was dropped while its
+ * start waited.
+ */
+static void
+test_drop_while_start_waits(void **state)
+{
+	struct bench *t = *state;
+	struct mlk_msg msg = { .type = MLK_MSG_DROP };
+
+	(void)until_listed(t);
+	advance(t, 300, NULL);
+	post_runs(t, &t->a, JOB, 2);
+	assert_int_equal(mlk_runner_counters(t->a.r)->starts_waited, 2);
+	msg.u.drop.sent_at = (uint64_t)t->now;
+	msg.u.drop.job = JOB;
+	deliver(t, &t->a, &msg);
+	advance(t, 1100, NULL); /* until an idle worker is reported */
+	assert_int_equal(t->a.starts, 0);
+	assert_int_equal(t->a.free_cpu, t->worker.capacity.cpu);
+}
+
 /*
  * Guards against repeated starts that exceed the capacity of a worker: it has
  * restarted under its id as a smaller one, while starts had no answer.
@@ -486,7 +676,9 @@
 test_restart_with_less_capacity(void **state)
 {
 	struct bench *t = *state;
+
 	t->task_cpu = 8000;
+	(void)until_listed(t);
 	t->dark = true;
 	send_runs(t, &t->a, TASKS_MAX);
 	advance(t, 100, NULL);
@@ -796,6 +988,18 @@
 main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(
+		    test_smaller_after_unnoticed_restart, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_single_task_after_unnoticed_restart, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_refused_start_after_restart, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_silent_idle_worker_returns_tasks, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_confirmed_worker_starts_at_once, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_drop_while_start_waits, setup, teardown),
 		cmocka_unit_test_setup_teardown(
 		    test_restart_with_less_capacity, setup, teardown),
 		cmocka_unit_test_setup_teardown(
