dispatch: an idle worker that misses a listing is degraded, not unavailable

Change: such a worker is reported as degraded, so that work goes elsewhere first, until it answers or counts as away (250 ms). Only one that names an earlier life is unavailable.

--- a/src/dispatch/runner.c
+++ b/src/dispatch/runner.c
@@ -156,13 +156,13 @@
 
 	if (!w->known || w->left_at != 0 || !r->predecessor_done ||
 	    !w->no_foreign_runs || w->boot != w->info.boot || w->not_sent > 0 ||
-	    w->life_missed || runner_superseded(r) || runner_away(r))
+	    w->other_life || runner_superseded(r) || runner_away(r))
 		return (MLK_WORKER_UNAVAILABLE);
 	if (r->stopping || w->info.state != MLK_WORKER_READY)
 		return (MLK_WORKER_DRAINING);
 	if (r->health.state == HEALTH_SICK)
 		return (MLK_WORKER_SICK);
-	if (r->health.degraded_until != 0)
+	if (r->health.degraded_until != 0 || w->life_missed)
 		return (MLK_WORKER_DEGRADED);
 	return (r->now < w->cold_until ? MLK_WORKER_COLD : MLK_WORKER_READY);
 }
--- a/src/dispatch/runner_listing.c
+++ b/src/dispatch/runner_listing.c
@@ -139,7 +139,7 @@
 
 	if (order->sent_at > w->life.confirmed_at) {
 		life_doubt(&w->life, r->now);
-		w->life_missed = true;
+		w->other_life = true;
 		w->list_after = r->now + PROBE_NS;
 	}
 	runner_disowned(r, order);
@@ -163,6 +163,7 @@
 	runner_note_boot(r, ev->u.order.boot);
 	life_listed(&w->life, ev->u.order.clock_ms, order->sent_at, r->now);
 	w->life_missed = false;
+	w->other_life = false;
 	w->ack_sent = MAX(w->ack_sent, MIN(w->acked, order->ack));
 	apply_ends(r, ev);
 	/* A delayed listing may show runs that have ended since. */
@@ -257,7 +258,8 @@
 	if (w->left_at != 0 && r->nactive == 0 && w->acked <= w->ack_sent)
 		return;
 	away = runner_away(r);
-	confirm = w->fence_unconfirmed || w->life_missed || away;
+	confirm =
+	    w->fence_unconfirmed || w->life_missed || w->other_life || away;
 	/*
 	 * A listing for a worker that is away or has refused a connection uses
 	 * a new one, since the old ones may be dead.
--- a/src/dispatch/runner_priv.h
+++ b/src/dispatch/runner_priv.h
@@ -256,8 +256,10 @@
 	int64_t clock_at;
 	uint64_t boot; /* of the newest listing or announcement */
 	struct life life; /* that this boot number names */
-	bool life_missed; /* a listing for it got no answer or named another
-			     one, and none has named it since */
+	bool life_missed; /* the listing for waiting starts got no answer, and
+			     none has named the life since */
+	bool other_life; /* a listing has named an earlier one since it was
+			    last named */
 	uint64_t fence; /* used for the next order */
 	uint32_t fence_rejections; /* consecutive orders rejected with the
 				      current fence */
--- a/src/dispatch/runner_waiting.c
+++ b/src/dispatch/runner_waiting.c
@@ -65,7 +65,8 @@
 
 /*
  * A listing got no answer while starts wait for one.  The worker is reported
- * as unavailable until one does: it has few runs and would attract more.
+ * as degraded until one does: it has few runs and would attract more.  A pool
+ * of which all workers answer late for a moment still takes work.
  */
 void
 runner_waiting_unanswered(struct mlk_runner *r)
--- a/test/test_runner_fence.c
+++ b/test/test_runner_fence.c
@@ -618,6 +618,8 @@
 	advance(t, TICK_MS, NULL);
 	assert_int_equal(t->a.ends, 3);
 	assert_int_equal(t->a.last_end, MLK_RUN_REFUSED);
+	assert_int_equal(t->a.state, MLK_WORKER_DEGRADED);
+	advance(t, 250, NULL);
 	assert_int_equal(t->a.state, MLK_WORKER_UNAVAILABLE);
 	t->dark = false;
 	advance(t, 300, NULL);
