--- a/src/dispatch/life.h
+++ b/src/dispatch/life.h
@@ -23,8 +23,8 @@
 #include <monsoonlock/base.h>
 
 /*
- * Shorter than a worker takes to exit and to be back: the fastest known are
- * down for 420 ms.
+ * A start may wait 50 ms more for its connection.  Together that is less than a
+ * worker takes to exit and to be back: the fastest known are down for 420 ms.
  */
 #define LIFE_CONFIRMED_NS (200 * (int64_t)MLK_NSEC_PER_MSEC)
 
