dispatch: one constant for a worker's clock rate, repeated test set-up in one place

Found on reading the change once more; behaviour and assertions stay. life.c repeated the 2 % by which a worker's clock may be slow; it shares LIFE_CLOCK_RATE with runner_worker.c. life_listed() only wrapped confirm(): both are life_confirm(). test_runner_fence: restart_smaller() in place of three copies, until_listed() without a result that nobody used.

--- a/src/dispatch/life.c
+++ b/src/dispatch/life.c
@@ -2,8 +2,7 @@
 
 #include "life.h"
 
-/* A worker's clock may be slow by 2 %. */
-#define CLOCK_ERROR_PERCENT 2
+#define CLOCK_ERROR (1000 - LIFE_CLOCK_RATE) /* thousandths */
 /* Both readings are whole milliseconds, and both clocks are read late. */
 #define CLOCK_SLACK_MS 5
 
@@ -28,22 +27,12 @@
 	least = (sent_at - life->answered_at) / (int64_t)MLK_NSEC_PER_MSEC;
 	most = (now - life->asked_at) / (int64_t)MLK_NSEC_PER_MSEC;
 	if (least > 0)
-		least -= least * CLOCK_ERROR_PERCENT / 100;
-	most += most * CLOCK_ERROR_PERCENT / 100;
+		least -= least * CLOCK_ERROR / 1000;
+	most += most * CLOCK_ERROR / 1000;
 	return (advance >= least - CLOCK_SLACK_MS &&
 	    advance <= most + CLOCK_SLACK_MS);
 }
 
-static void
-confirm(struct life *life, int64_t clock_ms, int64_t sent_at, int64_t now)
-{
-	if (sent_at > life->confirmed_at)
-		life->confirmed_at = sent_at;
-	life->clock_ms = clock_ms;
-	life->asked_at = sent_at;
-	life->answered_at = now;
-}
-
 static bool
 is_doubted(const struct life *life)
 {
@@ -52,9 +41,13 @@
 }
 
 void
-life_listed(struct life *life, int64_t clock_ms, int64_t sent_at, int64_t now)
+life_confirm(struct life *life, int64_t clock_ms, int64_t sent_at, int64_t now)
 {
-	confirm(life, clock_ms, sent_at, now);
+	if (sent_at > life->confirmed_at)
+		life->confirmed_at = sent_at;
+	life->clock_ms = clock_ms;
+	life->asked_at = sent_at;
+	life->answered_at = now;
 }
 
 bool
@@ -63,7 +56,7 @@
 	bool doubted;
 
 	if (clock_continues(life, clock_ms, sent_at, now)) {
-		confirm(life, clock_ms, sent_at, now);
+		life_confirm(life, clock_ms, sent_at, now);
 		return (false);
 	}
 	doubted = is_doubted(life);
--- a/src/dispatch/life.h
+++ b/src/dispatch/life.h
@@ -28,6 +28,9 @@
  */
 #define LIFE_CONFIRMED_NS (200 * (int64_t)MLK_NSEC_PER_MSEC)
 
+/* Lowest rate of a worker's clock, in thousandths of the local clock's rate */
+#define LIFE_CLOCK_RATE 980
+
 struct life {
 	int64_t confirmed_at; /* when the newest order was sent whose answer
 				 came from this life; 0: none */
@@ -39,8 +42,11 @@
 
 /* Another life is in use, of which no order was answered yet. */
 void life_begin(struct life *life);
-/* A listing that was sent at sent_at has named this life. */
-void life_listed(
+/*
+ * The answer to an order that was sent at sent_at is of this life, as a listing
+ * says that names it.
+ */
+void life_confirm(
     struct life *life, int64_t clock_ms, int64_t sent_at, int64_t now);
 /*
  * Any other order was answered.  Returns true when the worker's clock puts the
--- a/src/dispatch/runner_listing.c
+++ b/src/dispatch/runner_listing.c
@@ -161,7 +161,7 @@
 	}
 	w->confirmed = true;
 	runner_note_boot(r, ev->u.order.boot);
-	life_listed(&w->life, ev->u.order.clock_ms, order->sent_at, r->now);
+	life_confirm(&w->life, ev->u.order.clock_ms, order->sent_at, r->now);
 	w->life_missed = false;
 	w->other_life = false;
 	w->ack_sent = MAX(w->ack_sent, MIN(w->acked, order->ack));
--- a/src/dispatch/runner_waiting.c
+++ b/src/dispatch/runner_waiting.c
@@ -8,9 +8,6 @@
  * costs a round trip.  If it gets no answer or shows another life, the tasks
  * are returned as not run: their entries place them on other workers.
  */
-#include <stdlib.h>
-#include <string.h>
-
 #include "runner_priv.h"
 
 /*
--- a/src/dispatch/runner_worker.c
+++ b/src/dispatch/runner_worker.c
@@ -7,9 +7,6 @@
 
 #include "runner_priv.h"
 
-/* Lowest rate of a worker's clock, in thousandths of the local clock's rate */
-#define CLOCK_RATE 980
-
 /*
  * Records the worker's clock.  The first reading initialises the fence: fences
  * are derived from the clock, so that a later agent starts above an earlier
@@ -72,7 +69,8 @@
 	*expired_at = r->now + lease_ns + lease_ns * LEASE_SLACK_PERCENT / 100 +
 	    LEASE_SLACK_NS;
 	elapsed_ms = (r->now - w->clock_at) / MS;
-	return (w->clock_ms + elapsed_ms * CLOCK_RATE / 1000 + lease_ns / MS);
+	return (
+	    w->clock_ms + elapsed_ms * LIFE_CLOCK_RATE / 1000 + lease_ns / MS);
 }
 
 /*
--- a/test/test_life.c
+++ b/test/test_life.c
@@ -22,7 +22,7 @@
 begin_listed(struct life *life)
 {
 	life_begin(life);
-	life_listed(life, CLOCK, START, START + MS);
+	life_confirm(life, CLOCK, START, START + MS);
 	assert_true(life_is_confirmed(life, START + MS));
 }
 
@@ -38,7 +38,7 @@
 	(void)state;
 	life_begin(&life);
 	assert_false(life_is_confirmed(&life, START));
-	life_listed(&life, CLOCK, START, START + LONG_WAIT);
+	life_confirm(&life, CLOCK, START, START + LONG_WAIT);
 	assert_true(life_is_confirmed(&life, START + LIFE_CONFIRMED_NS - 1));
 	assert_false(life_is_confirmed(&life, START + LIFE_CONFIRMED_NS));
 }
@@ -91,7 +91,7 @@
 		assert_false(life_is_confirmed(&life, sent + MS));
 		/* Reported once. */
 		assert_false(life_answered(&life, clocks[i], sent, sent + MS));
-		life_listed(&life, clocks[i], sent + MS, sent + 2 * MS);
+		life_confirm(&life, clocks[i], sent + MS, sent + 2 * MS);
 		assert_true(life_is_confirmed(&life, sent + 2 * MS));
 	}
 }
@@ -112,9 +112,9 @@
 	life_unanswered(&life, START + 10 * MS, START + 60 * MS);
 	assert_false(life_is_confirmed(&life, START + 60 * MS));
 	/* Sent before the doubt: the worker may have answered and exited. */
-	life_listed(&life, CLOCK + 40, START + 40 * MS, START + 61 * MS);
+	life_confirm(&life, CLOCK + 40, START + 40 * MS, START + 61 * MS);
 	assert_false(life_is_confirmed(&life, START + 61 * MS));
-	life_listed(&life, CLOCK + 61, START + 61 * MS, START + 62 * MS);
+	life_confirm(&life, CLOCK + 61, START + 61 * MS, START + 62 * MS);
 	assert_true(life_is_confirmed(&life, START + 62 * MS));
 	life_doubt(&life, START + 63 * MS);
 	assert_false(life_is_confirmed(&life, START + 63 * MS));
--- a/test/test_runner_fence.c
+++ b/test/test_runner_fence.c
@@ -346,16 +346,6 @@
 	advance(t, 2 * TICK_MS, NULL);
 }
 
-/*
- * The same with one task of another job.
- */
-static void
-send_run_of(struct bench *t, struct agent *a, uint64_t job)
-{
-	post_runs(t, a, job, 1);
-	advance(t, 2 * TICK_MS, NULL);
-}
-
 /*
  * The entry sends one task of a long run.
  */
@@ -503,9 +493,9 @@
 
 /*
  * Advances the time until the worker has just answered a listing of the first
- * agent, and returns how long that took in ms.
+ * agent.
  */
-static int64_t
+static void
 until_listed(struct bench *t)
 {
 	uint32_t accepted = t->a.accepted;
@@ -515,23 +505,32 @@
 		assert_true(t->now - from < 1000);
 		advance(t, TICK_MS, NULL);
 	}
-	return (t->now - from);
+}
+
+/*
+ * The worker is back under its id, with half of the capacity for TASKS_MAX
+ * tasks.
+ */
+static void
+restart_smaller(struct bench *t)
+{
+	t->worker.capacity.cpu = TASKS_MAX * 8000 / 2;
+	restart_worker(t);
+	t->dark = false;
 }
 
 /*
  * The idle worker is down for a time that its agent does not notice and is back
- * under its id with half of the capacity for TASKS_MAX tasks.
+ * as a smaller one.
  */
 static void
 restart_smaller_unnoticed(struct bench *t)
 {
 	t->task_cpu = 8000;
-	(void)until_listed(t);
+	until_listed(t);
 	t->dark = true;
 	advance(t, 420, NULL);
-	t->worker.capacity.cpu = TASKS_MAX * 8000 / 2;
-	restart_worker(t);
-	t->dark = false;
+	restart_smaller(t);
 }
 
 /*
@@ -588,13 +587,11 @@
 	struct bench *t = *state;
 
 	t->task_cpu = 8000;
-	(void)until_listed(t);
+	until_listed(t);
 	t->dark = true;
 	t->refuses_connections = true;
 	send_runs(t, &t->a, TASKS_MAX);
-	t->worker.capacity.cpu = TASKS_MAX * 8000 / 2;
-	restart_worker(t);
-	t->dark = false;
+	restart_smaller(t);
 	advance(t, 200, NULL);
 	assert_int_equal(t->worker.over_capacity, 0);
 	assert_int_equal(t->worker.nruns, 0);
@@ -611,7 +608,7 @@
 {
 	struct bench *t = *state;
 
-	(void)until_listed(t);
+	until_listed(t);
 	advance(t, 300, NULL);
 	t->dark = true;
 	send_runs(t, &t->a, 3);
@@ -639,11 +636,12 @@
 	const struct mlk_runner_counters *counters;
 
 	counters = mlk_runner_counters(t->a.r);
-	(void)until_listed(t);
+	until_listed(t);
 	send_runs(t, &t->a, 2);
 	assert_int_equal(t->worker.nruns, 2);
 	advance(t, 1000, NULL);
-	send_run_of(t, &t->a, JOB + 1);
+	post_runs(t, &t->a, JOB + 1, 1);
+	advance(t, 2 * TICK_MS, NULL);
 	assert_int_equal(t->worker.nruns, 3);
 	assert_int_equal(counters->starts_waited, 0);
 }
@@ -658,7 +656,7 @@
 	struct bench *t = *state;
 	struct mlk_msg msg = { .type = MLK_MSG_DROP };
 
-	(void)until_listed(t);
+	until_listed(t);
 	advance(t, 300, NULL);
 	post_runs(t, &t->a, JOB, 2);
 	assert_int_equal(mlk_runner_counters(t->a.r)->starts_waited, 2);
@@ -680,14 +678,12 @@
 	struct bench *t = *state;
 
 	t->task_cpu = 8000;
-	(void)until_listed(t);
+	until_listed(t);
 	t->dark = true;
 	send_runs(t, &t->a, TASKS_MAX);
 	advance(t, 100, NULL);
 	assert_int_equal(t->a.starts, 0);
-	t->worker.capacity.cpu = TASKS_MAX * 8000 / 2;
-	restart_worker(t);
-	t->dark = false;
+	restart_smaller(t);
 	announce(t, &t->a);
 	advance(t, 500, NULL);
 	assert_int_equal(t->worker.over_capacity, 0);
